--- /dev/null
+++ b/pkg/telemetry/httptracing.go
@@ -0,0 +1,71 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// tracerName is the instrumentation scope of all spans of the system.
+const tracerName = "github.com/sycamorelift/sycamorelift"
+
+// HTTPTracing creates one span per HTTP hop and carries the trace context in
+// the W3C headers. Its methods are safe for concurrent use.
+type HTTPTracing struct {
+	tracer     trace.Tracer
+	propagator propagation.TextMapPropagator
+}
+
+// NewHTTPTracing returns tracing of HTTP hops through the provider.
+func NewHTTPTracing(provider trace.TracerProvider) *HTTPTracing {
+	return &HTTPTracing{tracer: provider.Tracer(tracerName), propagator: Propagator()}
+}
+
+// Propagator returns the W3C trace context propagator. Baggage is left out:
+// callers could send it through the whole fleet at the system's cost.
+func Propagator() propagation.TextMapPropagator {
+	return propagation.TraceContext{}
+}
+
+// Tracer returns the tracer for spans inside an instance.
+func (t *HTTPTracing) Tracer() trace.Tracer {
+	return t.tracer
+}
+
+// Extract returns ctx with the trace context that the headers carry.
+func (t *HTTPTracing) Extract(ctx context.Context, header http.Header) context.Context {
+	return t.propagator.Extract(ctx, propagation.HeaderCarrier(header))
+}
+
+// Inject writes the trace context of ctx into the headers.
+func (t *HTTPTracing) Inject(ctx context.Context, header http.Header) {
+	t.propagator.Inject(ctx, propagation.HeaderCarrier(header))
+}
+
+// Start begins a client span called name and writes its context into the
+// headers. The caller ends the span with End.
+func (t *HTTPTracing) Start(ctx context.Context, name string, header http.Header) (context.Context, trace.Span) {
+	ctx, span := t.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient))
+	t.Inject(ctx, header)
+	return ctx, span
+}
+
+// End ends a span with the status of a reply, or with the error that took its
+// place.
+func End(span trace.Span, status int, err error) {
+	if err != nil {
+		span.RecordError(err)
+		span.SetStatus(codes.Error, err.Error())
+	}
+	if status != 0 {
+		span.SetAttributes(attribute.Int("http.response.status_code", status))
+	}
+	if status >= http.StatusInternalServerError {
+		span.SetStatus(codes.Error, http.StatusText(status))
+	}
+	span.End()
+}
--- /dev/null
+++ b/pkg/telemetry/logoptions.go
@@ -0,0 +1,18 @@
+package telemetry
+
+// LogFormat is the encoding of log records.
+type LogFormat string
+
+// Log formats. The empty format is LogText.
+const (
+	LogText LogFormat = "text"
+	LogJSON LogFormat = "json"
+)
+
+// LogOptions selects the encoding and the lowest level of log records.
+type LogOptions struct {
+	Format LogFormat
+	Level  string // debug, info, warn or error; empty is info
+	// InstanceID is added to every record when it is not empty.
+	InstanceID string
+}
