Add the ticket ledger

A submission may run at most once although views differ, messages are duplicated and processes restart. A ticket is authenticated with a key of one process and redeemed only there.

A redemption refused for lack of memory cannot be remembered, so a duplicate of its message could run after the caller was told "not run". The record is therefore reserved at issue, which is harmless to refuse. For the same reason a completed outcome "not run" is final for its ticket. Results above the byte limit lose the oldest payloads, never a run state. A ticket younger than the retention without a record was never redeemed, so its expiry is a certain "not run"; for an older one the outcome is reported as unknown.

--- /dev/null
+++ b/pkg/ticket/ledger.go
@@ -0,0 +1,89 @@
+package ticket
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// keyBytes is the length of the HMAC key: the size of a SHA-256 digest.
+const keyBytes = 32
+
+// Ledger issues tickets and remembers their redemptions. It is safe for
+// concurrent use.
+type Ledger struct {
+	instanceID  string
+	incarnation string
+	now         func() time.Time
+	created     time.Time
+	limits      Limits
+	key         []byte
+	keyErr      error
+
+	mu          sync.Mutex // guards everything below, and random
+	random      io.Reader
+	stopped     bool
+	records     map[ticketID]*record
+	issued      fifo // not redeemed within the window yet, or redeemed since
+	completed   fifo
+	payloads    fifo // completed records whose payload may still be kept
+	resultBytes int64
+	live        int // issued, not redeemed, not expired
+	running     int // redeemed, not completed
+}
+
+// NewLedger returns a ledger with DefaultLimits. random must be a source of
+// cryptographic quality; now must return monotonic readings.
+func NewLedger(instanceID, incarnation string, random io.Reader, now func() time.Time) *Ledger {
+	return NewLimitedLedger(instanceID, incarnation, random, now, DefaultLimits)
+}
+
+// NewLimitedLedger returns a ledger with the given limits.
+func NewLimitedLedger(instanceID, incarnation string, random io.Reader, now func() time.Time, limits Limits) *Ledger {
+	l := &Ledger{
+		instanceID:  instanceID,
+		incarnation: incarnation,
+		now:         now,
+		created:     now(),
+		limits:      limits,
+		key:         make([]byte, keyBytes),
+		random:      random,
+		records:     map[ticketID]*record{},
+	}
+	_, err := io.ReadFull(random, l.key)
+	l.keyErr = eris.Wrap(err, "make the ticket key")
+	return l
+}
+
+// StopIssuing makes every later Issue fail with KindStopped. Redemptions go on.
+func (l *Ledger) StopIssuing() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+}
+
+// Live returns the number of tickets that are issued and neither redeemed nor
+// expired. A graceful shutdown waits until it is 0.
+func (l *Ledger) Live() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(l.now())
+	return l.live
+}
+
+// Running returns the number of tickets that are redeemed and not completed.
+func (l *Ledger) Running() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running
+}
+
+// Records returns the number of tickets that occupy memory.
+func (l *Ledger) Records() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep(l.now())
+	return len(l.records)
+}
--- /dev/null
+++ b/pkg/ticket/ledger_test.go
@@ -0,0 +1,236 @@
+package ticket
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+const maxRecords = 4
+
+// issuedTicket is the oracle's view of one ticket. An incarnation other than
+// the current one makes it unusable.
+type issuedTicket struct {
+	token, key  string
+	incarnation int
+	issuedAt    time.Time
+	body        string // of the first redemption, "" before
+	completed   time.Time
+	result      string // "" while it runs
+	redemption  *Redemption
+}
+
+// ledgerMachine drives a ledger through issues, redemptions, time and restarts,
+// and compares every answer with the list of issued tickets.
+type ledgerMachine struct {
+	now         time.Time
+	random      *rand.ChaCha8
+	incarnation int
+	ledger      *Ledger
+	tickets     []*issuedTicket
+}
+
+func newLedgerMachine() *ledgerMachine {
+	m := &ledgerMachine{now: time.Unix(0, 0), random: rand.NewChaCha8([32]byte{1})}
+	m.Restart(nil)
+	return m
+}
+
+func (m *ledgerMachine) Restart(*rapid.T) {
+	m.incarnation++
+	m.ledger = NewLimitedLedger("a", fmt.Sprint(m.incarnation), m.random,
+		func() time.Time { return m.now }, Limits{Records: maxRecords, ResultBytes: 1 << 20})
+}
+
+func (m *ledgerMachine) expectedRecords() (records, live, running int) {
+	for _, i := range m.tickets {
+		switch {
+		case i.incarnation != m.incarnation:
+		case i.body == "" && m.now.Before(i.issuedAt.Add(RedeemWindow)):
+			records, live = records+1, live+1
+		case i.body != "" && i.result == "":
+			records, running = records+1, running+1
+		case i.result != "" && m.now.Before(i.completed.Add(OutcomeRetention)):
+			records++
+		}
+	}
+	return records, live, running
+}
+
+func (m *ledgerMachine) Issue(t *rapid.T) {
+	records, _, _ := m.expectedRecords()
+	key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")
+	token, _, err := m.ledger.Issue("team", "service", key)
+	if records == maxRecords {
+		assert.Equal(t, err.(*Error).Kind, KindFull)
+		return
+	}
+	assert.NilError(t, err)
+	m.tickets = append(m.tickets, &issuedTicket{token: token, key: key, incarnation: m.incarnation, issuedAt: m.now})
+}
+
+func (m *ledgerMachine) pick(t *rapid.T) *issuedTicket {
+	if len(m.tickets) == 0 {
+		t.Skip("no ticket")
+	}
+	return m.tickets[rapid.IntRange(0, len(m.tickets)-1).Draw(t, "ticket")]
+}
+
+func (m *ledgerMachine) Redeem(t *rapid.T) {
+	i := m.pick(t)
+	body := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "body")
+	key := rapid.SampledFrom([]string{i.key, i.key, "k3"}).Draw(t, "key")
+	redemption, err := m.ledger.Begin(i.token, "team", "service", key, []byte(body))
+	if want := m.refusal(i, key, body); want != nil {
+		assert.DeepEqual(t, err, want)
+		return
+	}
+	assert.NilError(t, err)
+	assert.Equal(t, redemption.First, i.body == "")
+	if redemption.First {
+		i.body, i.redemption = body, redemption
+	}
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	if result, err := redemption.Wait(done); i.result != "" && err == nil {
+		assert.Equal(t, string(result.Payload), i.result)
+	}
+}
+
+func (m *ledgerMachine) refusal(i *issuedTicket, key, body string) error {
+	switch {
+	case i.incarnation != m.incarnation:
+		return &Error{Kind: KindIssuerGone, EarlierUnknown: true}
+	case key != i.key:
+		return &Error{Kind: KindConflict, EarlierUnknown: true}
+	case i.body == "" && !m.now.Before(i.issuedAt.Add(RedeemWindow)),
+		i.result != "" && !m.now.Before(i.completed.Add(OutcomeRetention)):
+		// Never wrongly certain that nothing ran.
+		return &Error{Kind: KindExpired, EarlierUnknown: m.now.Sub(i.issuedAt) >= OutcomeRetention}
+	case i.body != "" && i.body != body:
+		return &Error{Kind: KindConflict, EarlierUnknown: true}
+	default:
+		return nil
+	}
+}
+
+func (m *ledgerMachine) Complete(t *rapid.T) {
+	i := m.pick(t)
+	if i.body == "" || i.incarnation != m.incarnation {
+		t.Skip("not running")
+	}
+	i.redemption.Complete(Result{Payload: []byte("result")})
+	if i.result == "" {
+		i.result, i.completed = "result", m.now
+	}
+}
+
+func (m *ledgerMachine) Advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 29, 30, 300, 599, 600}).Draw(t, "s")) * time.Second)
+}
+
+func (m *ledgerMachine) Tamper(t *rapid.T) {
+	i := m.pick(t)
+	token := []byte(i.token)
+	at := rapid.IntRange(0, len(token)-1).Draw(t, "at")
+	if token[at]++; token[at] > 'z' {
+		token[at] = 'A'
+	}
+	_, err := m.ledger.Begin(string(token), "team", "service", i.key, []byte("x"))
+	var refusal *Error
+	assert.Assert(t, errors.As(err, &refusal) && refusal.EarlierUnknown, "%v", err)
+}
+
+func (m *ledgerMachine) Check(t *rapid.T) {
+	records, live, running := m.expectedRecords()
+	assert.Equal(t, m.ledger.Records(), records)
+	assert.Equal(t, m.ledger.Live(), live)
+	assert.Equal(t, m.ledger.Running(), running)
+}
+
+// Guards against a second run of a ticket, a lost or foreign outcome, a wrong
+// claim that nothing has run, and memory that grows beyond the limit.
+func TestLedgerFollowsOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { t.Repeat(rapid.StateMachineActions(newLedgerMachine())) })
+}
+
+// Guards against two concurrent redemptions that both run the submission.
+func TestConcurrentRedemptionsRunOnce(t *testing.T) {
+	l := NewLedger("a", "1", rand.NewChaCha8([32]byte{2}), time.Now)
+	for range 200 {
+		token, _, err := l.Issue("team", "service", "k")
+		assert.NilError(t, err)
+		var runs atomic.Int64
+		var done sync.WaitGroup
+		for range 8 {
+			done.Go(func() {
+				r, err := l.Begin(token, "team", "service", "k", []byte("x"))
+				if err == nil && r.First {
+					runs.Add(1)
+					r.Complete(Result{Run: peerpb.RunState_RUN_STATE_RUN})
+				}
+				result, err := r.Wait(context.Background())
+				if err != nil || result.Run != peerpb.RunState_RUN_STATE_RUN {
+					t.Error(result, err)
+				}
+			})
+		}
+		done.Wait()
+		assert.Equal(t, runs.Load(), int64(1))
+	}
+}
+
+// Guards against results that occupy memory without bound, and against an
+// outcome that is forgotten together with its payload.
+func TestPayloadsAreBounded(t *testing.T) {
+	l := NewLimitedLedger("a", "1", rand.NewChaCha8([32]byte{3}), time.Now, Limits{Records: 10, ResultBytes: 5})
+	var redemptions []*Redemption
+	for range 3 {
+		token, _, err := l.Issue("team", "service", "k")
+		assert.NilError(t, err)
+		r, err := l.Begin(token, "team", "service", "k", nil)
+		assert.NilError(t, err)
+		r.Complete(Result{Run: peerpb.RunState_RUN_STATE_RUN, Payload: []byte("two")[:2]})
+		redemptions = append(redemptions, r)
+	}
+	for i, r := range redemptions {
+		result, err := r.Wait(context.Background())
+		assert.NilError(t, err)
+		assert.Equal(t, result.PayloadDropped, i == 0)
+		assert.Equal(t, result.Run, peerpb.RunState_RUN_STATE_RUN)
+	}
+	l.StopIssuing()
+	_, _, err := l.Issue("team", "service", "k")
+	assert.DeepEqual(t, err, error(&Error{Kind: KindStopped}))
+}
+
+// Guards against routing that fails on valid tickets or panics on any bytes.
+func TestIssuerOfToken(t *testing.T) {
+	token, _, err := NewLedger("a", "1", rand.NewChaCha8([32]byte{4}), time.Now).Issue("team", "service", "k")
+	assert.NilError(t, err)
+	instance, incarnation, err := Issuer(token)
+	assert.NilError(t, err)
+	assert.Equal(t, instance+incarnation, "a1")
+	rapid.Check(t, func(t *rapid.T) {
+		cut := rapid.IntRange(0, len(token)-1).Draw(t, "cut")
+		_, _, err := Issuer(token[:cut] + rapid.String().Draw(t, "tail") + "*")
+		assert.Equal(t, err.(*Error).Kind, KindMalformed)
+	})
+}
--- /dev/null
+++ b/pkg/ticket/redemption.go
@@ -0,0 +1,54 @@
+package ticket
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+)
+
+// Redemption is one use of a ticket.
+type Redemption struct {
+	// First is true for the redemption that runs the submission.
+	First  bool
+	ledger *Ledger
+	record *record
+}
+
+// Complete stores the outcome of the submission and wakes the redemptions that
+// wait for it. Only the first call of the first redemption has an effect. An
+// outcome that is not run is final too: the ticket runs nothing afterwards.
+func (r *Redemption) Complete(result Result) {
+	if !r.First {
+		return
+	}
+	l := r.ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.record.completed() {
+		return
+	}
+	now := l.now()
+	r.record.result = result
+	r.record.forgetAt = now.Add(OutcomeRetention)
+	l.running--
+	l.completed.push(r.record)
+	if result.Payload != nil {
+		l.resultBytes += int64(len(result.Payload))
+		l.payloads.push(r.record)
+	}
+	l.boundPayloads()
+	close(r.record.done)
+}
+
+// Wait returns the stored outcome once the submission has completed. The error
+// is the context's; the submission may have run then.
+func (r *Redemption) Wait(ctx context.Context) (Result, error) {
+	select {
+	case <-r.record.done:
+	case <-ctx.Done():
+		return Result{}, eris.Wrap(ctx.Err(), "wait for the outcome of a ticket")
+	}
+	r.ledger.mu.Lock()
+	defer r.ledger.mu.Unlock()
+	return r.record.result, nil
+}
--- /dev/null
+++ b/pkg/ticket/result.go
@@ -0,0 +1,13 @@
+package ticket
+
+import "github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+
+// Result is the outcome of a submission.
+type Result struct {
+	Run     peerpb.RunState
+	Status  peerpb.ResultStatus
+	Payload []byte // the backend server's reply
+	Detail  string
+	// PayloadDropped is true when the payload was given up to bound memory.
+	PayloadDropped bool
+}
