--- /dev/null
+++ b/pkg/submission/issuer.go
@@ -0,0 +1,117 @@
+package submission
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/ticket"
+	"github.com/twitchtv/twirp"
+)
+
+// IssuerConfig holds the parts that an Issuer uses.
+type IssuerConfig struct {
+	Ledger   *ticket.Ledger
+	Replicas Replicas
+	Sender   func() *peerpb.Sender // identifies this instance in messages
+	Now      func() time.Time
+}
+
+// Issuer implements the calls IssueTicket and Redeem of peerpb.Peer. It is safe
+// for concurrent use.
+type Issuer struct {
+	config IssuerConfig
+}
+
+// NewIssuer returns an issuer for the ledger's tickets.
+func NewIssuer(config IssuerConfig) *Issuer {
+	return &Issuer{config: config}
+}
+
+// IssueTicket issues a ticket. The error is a twirp.Error; no message of it
+// concerns a submission, so the sender may ask another instance.
+func (i *Issuer) IssueTicket(_ context.Context, request *peerpb.IssueTicketRequest) (*peerpb.IssueTicketReply, error) {
+	token, expiresIn, err := i.config.Ledger.Issue(request.Team, request.Service, request.Key)
+	var refusal *ticket.Error
+	switch {
+	case errors.As(err, &refusal):
+		return nil, twirp.NewError(twirp.Unavailable, refusal.Error())
+	case err != nil:
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.IssueTicketReply{
+		Sender:      i.config.Sender(),
+		Ticket:      token,
+		ExpiresInMs: expiresIn.Milliseconds(),
+	}, nil
+}
+
+// Redeem runs the submission of a ticket, or returns the stored outcome when an
+// earlier message has redeemed the ticket. It returns no error: each outcome,
+// refusals included, is a statement in the reply.
+func (i *Issuer) Redeem(ctx context.Context, request *peerpb.RedeemRequest) (*peerpb.RedeemReply, error) {
+	redemption, err := i.config.Ledger.Begin(request.Ticket, request.Team, request.Service, request.Key, request.Payload)
+	if err != nil {
+		return i.refuseTicket(err), nil
+	}
+	timeout := time.Duration(request.TimeoutMs) * time.Millisecond
+	if redemption.First {
+		i.run(ctx, timeout, redemption, request)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	result, err := redemption.Wait(ctx)
+	if err != nil {
+		return i.stillRunning(), nil
+	}
+	return i.completed(result, !redemption.First), nil
+}
+
+// run outlives the message that started it: when the entry instance goes away,
+// the outcome is still stored for a message that comes through another one.
+func (i *Issuer) run(ctx context.Context, timeout time.Duration, redemption *ticket.Redemption, request *peerpb.RedeemRequest) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	defer cancel()
+	// Without an outcome after a panic, later redemptions would wait forever.
+	defer redemption.Complete(unknown("the run ended without an outcome"))
+	r := &run{issuer: i, request: request, operation: redemption.ID(), arrival: i.config.Now(), timeout: timeout}
+	redemption.Complete(r.execute(ctx))
+}
+
+func (i *Issuer) refuseTicket(err error) *peerpb.RedeemReply {
+	reply := &peerpb.RedeemReply{Sender: i.config.Sender(), Run: peerpb.RunState_RUN_STATE_NOT_RUN}
+	var refusal *ticket.Error
+	if !errors.As(err, &refusal) {
+		reply.EarlierUnknown = true
+		reply.Detail = err.Error()
+		return reply
+	}
+	encodeTicketKind(reply, refusal)
+	return reply
+}
+
+func (i *Issuer) stillRunning() *peerpb.RedeemReply {
+	return &peerpb.RedeemReply{
+		Sender:         i.config.Sender(),
+		Run:            peerpb.RunState_RUN_STATE_UNKNOWN,
+		Status:         peerpb.ResultStatus_DEADLINE,
+		Detail:         "an earlier attempt is still running",
+		EarlierUnknown: true,
+	}
+}
+
+func (i *Issuer) completed(result ticket.Result, replayed bool) *peerpb.RedeemReply {
+	detail := result.Detail
+	if result.PayloadDropped {
+		detail = "the stored result is no longer available"
+	}
+	return &peerpb.RedeemReply{
+		Sender:   i.config.Sender(),
+		Run:      result.Run,
+		Result:   result.Payload,
+		Replayed: replayed,
+		Status:   result.Status,
+		Detail:   detail,
+	}
+}
--- a/pkg/ticket/redemption.go
+++ b/pkg/ticket/redemption.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 
 	"github.com/rotisserie/eris"
 )
@@ -40,13 +41,21 @@
 	close(r.record.done)
 }
 
+// ID returns the id of the ticket, unique among all issuers.
+func (r *Redemption) ID() string {
+	return hex.EncodeToString(r.record.id[:])
+}
+
 // Wait returns the stored outcome once the submission has completed. The error
 // is the context's; the submission may have run then.
 func (r *Redemption) Wait(ctx context.Context) (Result, error) {
 	select {
 	case <-r.record.done:
 	case <-ctx.Done():
-		return Result{}, eris.Wrap(ctx.Err(), "wait for the outcome of a ticket")
+		// Both may be ready, and a known outcome must not be withheld.
+		if !r.record.completed() {
+			return Result{}, eris.Wrap(ctx.Err(), "wait for the outcome of a ticket")
+		}
 	}
 	r.ledger.mu.Lock()
 	defer r.ledger.mu.Unlock()
