--- /dev/null
+++ b/pkg/coverage/missing.go
@@ -0,0 +1,10 @@
+package coverage
+
+// Missing is a key range that an answer does not cover.
+type Missing struct {
+	Shard     int    `json:"shard"`
+	From      string `json:"from"` // inclusive
+	To        string `json:"to"`   // exclusive, empty is unbounded
+	Documents int64  `json:"documents"`
+	Reason    string `json:"reason"`
+}
--- /dev/null
+++ b/pkg/entry/finish.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/sycamorelift/sycamorelift/pkg/bundle"
+	"github.com/sycamorelift/sycamorelift/pkg/coverage"
+	"github.com/sycamorelift/sycamorelift/pkg/owner"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// answer returns the answer, or a refusal below the minimum coverage.
+func (q *query) answer() (*Answer, error) {
+	report := q.account.Report("no reply within the deadline")
+	if report.Fraction < q.policy.MinCoverage {
+		return nil, q.refuseCoverage(report)
+	}
+	return &Answer{
+		RequestID:     q.request.RequestID,
+		Team:          q.policy.Team,
+		Service:       q.policy.Service,
+		Class:         q.policy.Class,
+		Instance:      q.entry.config.Self.ID,
+		BundleVersion: q.policy.BundleVersion,
+		Snapshot:      q.snapshot.Version,
+		Coverage:      report,
+		Hits:          q.hits(),
+		Attempts:      int(q.attempts),
+		Shards:        len(q.shards),
+	}, nil
+}
+
+// hits merges the hits of all shards, best first.
+func (q *query) hits() []Hit {
+	var all []*peerpb.Hit
+	for _, s := range q.shards {
+		all = append(all, s.hits...)
+	}
+	slices.SortFunc(all, owner.CompareHits)
+	if len(all) > q.request.Limit {
+		all = all[:q.request.Limit]
+	}
+	hits := make([]Hit, 0, len(all))
+	for _, h := range all {
+		hits = append(hits, Hit{Key: h.Key, Score: h.Score, Document: h.Document})
+	}
+	return hits
+}
+
+// refuseCoverage names the signed coverage rule, or the shards that were
+// missing.
+func (q *query) refuseCoverage(report coverage.Report) *Refusal {
+	possible := q.account.Reachable()
+	detail := fmt.Sprintf("covered %.4f, at most %.4f reachable, %.4f required; first missing: %s",
+		report.Fraction, possible, q.policy.MinCoverage, firstMissing(report))
+	statement := q.record.statement()
+	if rule := findRule(q.policy, bundle.RuleCoverageBelow); rule != nil {
+		return byRule(q.policy, rule, statement, detail)
+	}
+	refusal := shortage(statement, "coverage", detail)
+	if !q.now().Before(q.deadline.Add(-replyReserve)) {
+		refusal.Status = http.StatusGatewayTimeout
+	}
+	return refusal
+}
+
+func firstMissing(report coverage.Report) string {
+	if len(report.Missing) == 0 {
+		return "none"
+	}
+	m := report.Missing[0]
+	return fmt.Sprintf("shard %d (%s)", m.Shard, m.Reason)
+}
--- /dev/null
+++ b/pkg/entry/handler.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Handler returns the caller API.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/{team}/{service}/search", e.traced("entry.search", e.handleSearch))
+	mux.HandleFunc("POST /v1/{team}/{service}/tickets", e.traced("entry.ticket", e.handleTicket))
+	mux.HandleFunc("POST /v1/{team}/{service}/submit", e.traced("entry.submit", e.handleSubmit))
+	return mux
+}
+
+// call is one HTTP request of a caller.
+type call struct {
+	id      string
+	team    string
+	service string
+	token   string
+}
+
+// serve handles a call and returns the reply body or a *Refusal.
+type serve func(w http.ResponseWriter, r *http.Request, c call) (any, error)
+
+// traced wraps a handler with a span, a request id, metrics and the reply.
+func (e *Entry) traced(name string, handle serve) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		started := e.config.Now()
+		c := call{
+			id:      uuid.NewString(),
+			team:    r.PathValue("team"),
+			service: r.PathValue("service"),
+			token:   bearerToken(r),
+		}
+		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := e.config.Tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
+			attribute.String("request_id", c.id), attribute.String("team", c.team), attribute.String("service", c.service)))
+		defer span.End()
+		r.Body = http.MaxBytesReader(w, r.Body, e.config.MaxRequestBytes)
+		reply, err := handle(w, r.WithContext(ctx), c)
+		if err != nil {
+			span.RecordError(err)
+		}
+		e.reply(w, c, reply, err)
+		e.config.Metrics.Observe(name, e.config.Now().Sub(started))
+	}
+}
+
+func (e *Entry) handleSearch(_ http.ResponseWriter, r *http.Request, c call) (any, error) {
+	var body searchBody
+	if err := decode(r, &body); err != nil {
+		return nil, err
+	}
+	if body.Limit < 0 || body.Limit > maxLimit {
+		return nil, invalid(http.StatusBadRequest, fmt.Sprintf("limit is %d, allowed are 0 to %d", body.Limit, maxLimit))
+	}
+	if body.Limit == 0 {
+		body.Limit = defaultLimit
+	}
+	answer, err := e.Search(r.Context(), SearchRequest{
+		RequestID: c.id, Team: c.team, Service: c.service, Token: c.token, Query: body.Query, Limit: body.Limit,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Coverage.Complete {
+		e.config.Metrics.Count("searches.complete", 1)
+	} else {
+		e.config.Metrics.Count("searches.partial", 1)
+	}
+	return answer, nil
+}
+
+// reply writes the answer or the refusal as JSON.
+func (e *Entry) reply(w http.ResponseWriter, c call, body any, err error) {
+	status := http.StatusOK
+	if err != nil {
+		refusal := asRefusal(err)
+		refusal.RequestID = c.id
+		status = refusal.Status
+		body = refusal
+		e.config.Metrics.Count("refused."+string(refusal.Reason.Kind), 1)
+		if refusal.RetryAfterMs > 0 {
+			seconds := time.Duration(refusal.RetryAfterMs)*time.Millisecond + time.Second - 1
+			w.Header().Set("Retry-After", fmt.Sprint(int(seconds/time.Second)))
+		}
+		e.config.Logger.Debug("request refused", "request", c.id, "team", c.team, "service", c.service, "run", refusal.Run, "reason", refusal.Error())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Sycamorelift-Request", c.id)
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		e.config.Logger.Debug("reply not delivered", "request", c.id, "error", err)
+	}
+}
+
+func asRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		copied := *refusal
+		return &copied
+	}
+	return shortage(Unknown, "internal error", err.Error())
+}
+
+// decode reads one JSON body; errors name the place in the body.
+func decode(r *http.Request, into any) error {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	if err == nil {
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return invalid(http.StatusRequestEntityTooLarge, fmt.Sprintf("body exceeds %d bytes", tooLarge.Limit))
+	}
+	return invalid(http.StatusBadRequest, fmt.Sprintf("malformed body at byte %d: %v", decoder.InputOffset(), err))
+}
+
+func bearerToken(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
--- /dev/null
+++ b/pkg/entry/receive.go
@@ -0,0 +1,264 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/selection"
+	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
+)
+
+// handle processes one event. The error ends the query.
+func (q *query) handle(ctx context.Context, ev event) error {
+	if ev.frame != nil {
+		return q.handleFrame(ctx, ev.dispatch, ev.frame)
+	}
+	if ev.dispatch.pending > 0 {
+		q.handleLostOwner(ctx, ev.dispatch, ev.err)
+	}
+	return nil
+}
+
+func (q *query) handleFrame(ctx context.Context, d *dispatch, frame *peerpb.SearchFrame) error {
+	if frame.RequestId != q.request.RequestID {
+		return nil
+	}
+	if !d.acked {
+		d.acked = true
+		q.entry.config.View.ReportCall(d.owner.ID, true, q.now())
+	}
+	if frame.Sender != nil {
+		q.entry.config.Control.ObserveSender(frame.Sender)
+	}
+	for _, result := range frame.Results {
+		if err := q.handleResult(ctx, d, result, frame.Hits); err != nil {
+			return err
+		}
+	}
+	if d.moot() {
+		d.cancel()
+	}
+	return nil
+}
+
+// moot reports that no pending attempt of the dispatch is of use any more.
+func (d *dispatch) moot() bool {
+	for _, a := range d.attempts {
+		if !a.finished && !a.shard.done {
+			return false
+		}
+	}
+	return d.pending > 0
+}
+
+// handleResult matches a result to its attempt; results that match none are
+// ignored.
+func (q *query) handleResult(ctx context.Context, d *dispatch, result *peerpb.ShardResult, hits []*peerpb.Hit) error {
+	a, ok := d.attempts[result.Attempt]
+	if !ok || a.finished || int(result.Shard) != a.shard.partition.Shard || result.BackendServerId != a.server.ID {
+		return nil
+	}
+	q.finish(a, result)
+	q.learn(a, result)
+	if result.Status == peerpb.ResultStatus_OK {
+		return q.handleOK(ctx, a, result, hits)
+	}
+	return q.handleFailure(ctx, a, result)
+}
+
+// finish closes the books of an attempt.
+func (q *query) finish(a *attempt, result *peerpb.ShardResult) {
+	a.finished = true
+	a.dispatch.pending--
+	a.shard.running--
+	q.record.inFlight--
+	if result.Run != peerpb.RunState_RUN_STATE_NOT_RUN {
+		q.record.maybe = true
+	}
+	now := q.now()
+	q.entry.config.Selector.Done(selection.Observation{
+		ServerID: a.server.ID,
+		Service:  serviceKey(q.policy.Team, q.policy.Service),
+		Latency:  now.Sub(a.started),
+		Queue:    time.Duration(result.QueueUs) * time.Microsecond,
+		Status:   result.Status,
+	}, now)
+}
+
+// forget closes the books of an attempt whose result does not come any more.
+func (q *query) forget(a *attempt) {
+	a.finished = true
+	a.dispatch.pending--
+	a.shard.running--
+	q.record.inFlight--
+	q.record.maybe = true
+	q.entry.config.Selector.Cancel(a.server.ID, q.now().Sub(a.started))
+}
+
+// learn keeps what the backend server said about itself.
+func (q *query) learn(a *attempt, result *peerpb.ShardResult) {
+	now := q.now()
+	config := q.entry.config
+	config.Served.Learn(a.server.ID, result.Snapshots, now)
+	if result.Draining {
+		config.View.Drain(a.server.ID, "", now)
+	}
+	if result.Status == peerpb.ResultStatus_CRASHED {
+		q.crashes++
+		config.Guard.Learn(q.fingerprint, a.server.ID, a.server.Zone, now)
+	}
+}
+
+func (q *query) handleOK(ctx context.Context, a *attempt, result *peerpb.ShardResult, hits []*peerpb.Hit) error {
+	s := a.shard
+	covered := snapshot.Partition{Shard: int(result.Shard), From: result.From, To: result.To, Documents: result.Documents}
+	if result.Snapshot != q.snapshot.Version {
+		return q.retry(ctx, s, "reply of another snapshot")
+	}
+	if s.done {
+		return nil
+	}
+	if err := q.account.Add(covered); err != nil {
+		q.entry.config.Logger.Warn("reply rejected", "request", q.request.RequestID, "backend_server", a.server.ID, "error", err)
+		return q.retry(ctx, s, "reply does not match the manifest")
+	}
+	for _, h := range hits {
+		if h.Shard == result.Shard {
+			s.hits = append(s.hits, h)
+		}
+	}
+	s.done = true
+	q.open--
+	if q.held {
+		q.entry.config.Guard.MarkGood(q.fingerprint, q.now())
+		q.release(ctx)
+	}
+	return nil
+}
+
+func (q *query) handleFailure(ctx context.Context, a *attempt, result *peerpb.ShardResult) error {
+	switch result.Status {
+	case peerpb.ResultStatus_SNAPSHOT_GONE:
+		return q.handleSnapshotGone(ctx, a.shard)
+	case peerpb.ResultStatus_QUARANTINED:
+		return refuseCrashing(q.policy, q.record.statement(), errors.New(result.Detail))
+	case peerpb.ResultStatus_CRASHED:
+		if q.policy.CrashLimit > 0 && q.crashes >= q.policy.CrashLimit && q.held {
+			return refuseCrashing(q.policy, Unknown, errors.New("the request crashed backend servers that ran it"))
+		}
+	}
+	return q.retry(ctx, a.shard, result.Status.String())
+}
+
+// handleSnapshotGone tries a replica that may still have the snapshot, then a
+// restart on another snapshot, then accepts that the shard is missing.
+func (q *query) handleSnapshotGone(ctx context.Context, s *shardState) error {
+	if s.done || s.running > 0 {
+		return nil
+	}
+	if _, ok := s.next(); ok {
+		q.send(ctx, []*shardState{s}, false)
+		return nil
+	}
+	left := q.deadline.Sub(q.now())
+	if q.mayRestart && left > time.Duration(restartMinTimeLeft*float64(q.policy.Deadline)) {
+		return errSnapshotGone
+	}
+	q.fail(s, "snapshot no longer served")
+	return nil
+}
+
+// retry asks another replica if there is one and the budget allows it.
+func (q *query) retry(ctx context.Context, s *shardState, reason string) error {
+	if s.done || s.running > 0 {
+		return nil
+	}
+	s.lastError = reason
+	config := q.entry.config
+	if q.held {
+		q.retryCanary(ctx, s)
+		return nil
+	}
+	_, ok := s.next()
+	if !ok || config.Options.DisableRetries || !config.Selector.AllowRetry(serviceKey(q.policy.Team, q.policy.Service)) {
+		q.fail(s, reason)
+		return nil
+	}
+	config.Metrics.Count("attempts.retried", 1)
+	q.send(ctx, []*shardState{s}, false)
+	return nil
+}
+
+// retryCanary asks the canary's next replica, or another shard when the
+// canary's shard has none left.
+func (q *query) retryCanary(ctx context.Context, s *shardState) {
+	if _, ok := s.next(); ok {
+		q.send(ctx, []*shardState{s}, false)
+		return
+	}
+	q.fail(s, s.lastError)
+	if !q.hopeless() {
+		q.sendCanary(ctx)
+	}
+}
+
+// fail gives a shard up.
+func (q *query) fail(s *shardState, reason string) {
+	if s.done {
+		return
+	}
+	if s.lastError != "" {
+		reason = s.lastError
+	}
+	s.done = true
+	q.open--
+	q.account.Fail(s.partition.Shard, reason)
+}
+
+// handleLostOwner sends the attempts of a broken stream to the next owner of
+// the same backend servers.
+func (q *query) handleLostOwner(ctx context.Context, d *dispatch, cause error) {
+	if d.moot() || ctx.Err() != nil {
+		return
+	}
+	now := q.now()
+	q.entry.config.View.ReportCall(d.owner.ID, false, now)
+	q.entry.config.Metrics.Count("owners.lost", 1)
+	q.entry.config.Logger.Debug("owner lost", "request", q.request.RequestID, "owner", d.owner.ID, "error", cause)
+	q.failOver(ctx, d, now)
+}
+
+// failOver moves the pending attempts of a dispatch to the next rank.
+func (q *query) failOver(ctx context.Context, d *dispatch, now time.Time) {
+	d.cancel()
+	groups := make(map[string]*dispatch)
+	for _, a := range d.attempts {
+		if a.finished {
+			continue
+		}
+		q.forget(a)
+		if a.shard.done || a.shard.running > 0 {
+			continue
+		}
+		q.moveAttempt(ctx, groups, a, d, now)
+	}
+	for _, next := range groups {
+		q.launch(ctx, next)
+	}
+}
+
+func (q *query) moveAttempt(ctx context.Context, groups map[string]*dispatch, a *attempt, from *dispatch, now time.Time) {
+	to, rank, ok := q.ownerAfter(a.server.ID, from, now)
+	if !ok {
+		_ = q.retry(ctx, a.shard, "no owner instance answered")
+		return
+	}
+	next, ok := groups[to.ID]
+	if !ok {
+		next = &dispatch{owner: to, rank: rank, attempts: make(map[int32]*attempt), sent: now}
+		groups[to.ID] = next
+	}
+	q.addAttempt(next, a.shard, a.server, now, a.hedge)
+}
--- /dev/null
+++ b/pkg/entry/send.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
+)
+
+// start sends the canary, or all shards when no canary is needed.
+func (q *query) start(ctx context.Context) {
+	if !q.needsCanary() {
+		q.sendOpen(ctx)
+		return
+	}
+	q.held = true
+	q.sendCanary(ctx)
+}
+
+func (q *query) needsCanary() bool {
+	return q.policy.Canary &&
+		!q.entry.config.Options.DisableCanary &&
+		len(q.shards) > 1 &&
+		!q.entry.config.Guard.KnownGood(q.fingerprint, q.now())
+}
+
+// sendCanary asks one shard that can be asked; the fingerprint decides which,
+// so that resends of a request meet the same backend servers.
+func (q *query) sendCanary(ctx context.Context) {
+	candidates := make([]int, 0, len(q.shards))
+	for _, s := range q.shards {
+		if _, ok := s.next(); ok && !s.done {
+			candidates = append(candidates, s.partition.Shard)
+		}
+	}
+	if len(candidates) == 0 {
+		q.release(ctx)
+		return
+	}
+	s := q.byShard[q.entry.config.Guard.CanaryShard(q.fingerprint, candidates)]
+	q.orderByFingerprint(s.replicas)
+	q.send(ctx, []*shardState{s}, false)
+}
+
+func (q *query) orderByFingerprint(replicas []membership.BackendServer) {
+	slices.SortFunc(replicas, func(a, b membership.BackendServer) int {
+		ha, hb := q.hash(a.ID), q.hash(b.ID)
+		switch {
+		case ha < hb:
+			return -1
+		case ha > hb:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+func (q *query) hash(id string) uint64 {
+	return xxhash.Sum64String(id) ^ q.fingerprint
+}
+
+// release sends the shards that waited for the canary.
+func (q *query) release(ctx context.Context) {
+	q.held = false
+	q.sendOpen(ctx)
+}
+
+// sendOpen sends every shard that is neither done nor running.
+func (q *query) sendOpen(ctx context.Context) {
+	waiting := make([]*shardState, 0, len(q.shards))
+	for _, s := range q.shards {
+		if !s.done && s.running == 0 {
+			waiting = append(waiting, s)
+		}
+	}
+	q.send(ctx, waiting, false)
+}
+
+// send starts one attempt for each shard on its next replica, with one message
+// per owner. A shard without a replica left fails.
+func (q *query) send(ctx context.Context, shards []*shardState, hedge bool) {
+	groups := make(map[string]*dispatch)
+	now := q.now()
+	for _, s := range shards {
+		server, ok := s.next()
+		if !ok {
+			q.fail(s, "no replica left to ask")
+			continue
+		}
+		to, ok := q.ownerOf(server.ID, 0, now)
+		if !ok {
+			q.fail(s, "no owner instance is known")
+			continue
+		}
+		d, ok := groups[to.ID]
+		if !ok {
+			d = &dispatch{owner: to, attempts: make(map[int32]*attempt), sent: now}
+			groups[to.ID] = d
+		}
+		q.addAttempt(d, s, server, now, hedge)
+	}
+	for _, d := range groups {
+		q.launch(ctx, d)
+	}
+}
+
+// ownerOf returns the owner of a backend server at a rank.
+func (q *query) ownerOf(serverID string, rank int, now time.Time) (membership.Instance, bool) {
+	config := q.entry.config
+	if config.Options.DirectFanOut {
+		return config.Self, rank == 0
+	}
+	owners := config.View.Owners(serverID, now)
+	if rank >= len(owners) {
+		return membership.Instance{}, false
+	}
+	return owners[rank], true
+}
+
+func (q *query) addAttempt(d *dispatch, s *shardState, server membership.BackendServer, now time.Time, hedge bool) {
+	q.attempts++
+	a := &attempt{number: q.attempts, shard: s, server: server, dispatch: d, started: now, hedge: hedge}
+	d.attempts[a.number] = a
+	d.pending++
+	s.tried[server.ID] = true
+	s.running++
+	q.record.inFlight++
+	q.entry.config.Selector.Begin(server.ID)
+}
+
+// launch opens the stream to the owner.
+func (q *query) launch(ctx context.Context, d *dispatch) {
+	ctx, d.cancel = context.WithCancel(ctx)
+	q.sent = append(q.sent, d)
+	message := q.message(d)
+	go func() {
+		emit := func(frame *peerpb.SearchFrame) error { return q.deliver(ctx, event{dispatch: d, frame: frame}) }
+		err := q.entry.config.Owners.Search(ctx, d.owner, message, emit)
+		_ = q.deliver(ctx, event{dispatch: d, err: err})
+	}()
+}
+
+// deliver hands an event to the query's goroutine unless the query has ended.
+func (q *query) deliver(ctx context.Context, ev event) error {
+	select {
+	case q.events <- ev:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (q *query) message(d *dispatch) *peerpb.SearchRequest {
+	now := q.now()
+	message := &peerpb.SearchRequest{
+		Sender:      q.entry.config.Control.Sender(),
+		RequestId:   q.request.RequestID,
+		Team:        q.policy.Team,
+		Service:     q.policy.Service,
+		Snapshot:    q.snapshot.Version,
+		Priority:    int32(q.policy.Priority),
+		AgeUs:       now.Sub(q.arrived).Microseconds(),
+		TimeoutMs:   (q.deadline.Sub(now) - replyReserve).Milliseconds(),
+		Query:       q.request.Query,
+		Limit:       int32(q.request.Limit),
+		Fingerprint: q.fingerprint,
+		Slots:       int32(q.policy.Slots),
+		Connections: int32(q.policy.Connections),
+		CrashLimit:  int32(q.policy.CrashLimit),
+	}
+	for _, a := range d.attempts {
+		message.Attempts = append(message.Attempts, &peerpb.ShardAttempt{
+			Shard:           int32(a.shard.partition.Shard),
+			Attempt:         a.number,
+			BackendServerId: a.server.ID,
+			From:            a.shard.partition.From,
+			To:              a.shard.partition.To,
+			Documents:       a.shard.partition.Documents,
+			Canary:          q.held,
+		})
+	}
+	return message
+}
+
+// replicas returns the replicas of a shard that may serve the pinned snapshot,
+// best first.
+func (q *query) replicas(shard int, now time.Time) []membership.BackendServer {
+	config := q.entry.config
+	all := config.View.Replicas(q.policy.Team, q.policy.Service, shard, now)
+	able := make([]membership.BackendServer, 0, len(all))
+	for _, server := range all {
+		if config.Served.Knows(server.ID, q.snapshot.Version, now) != snapshot.Absent {
+			able = append(able, server)
+		}
+	}
+	if config.Options.RandomReplica {
+		return config.Selector.Shuffle(able)
+	}
+	return config.Selector.Order(now, able, config.Self.Zone)
+}
--- /dev/null
+++ b/pkg/entry/shardstate.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
+)
+
+// shardState is the progress of one shard within a query.
+type shardState struct {
+	partition snapshot.Partition
+	replicas  []membership.BackendServer // in order of preference
+	tried     map[string]bool            // backend server ids
+	running   int                        // attempts without a result
+	done      bool                       // answered or failed
+	hedged    bool
+	hits      []*peerpb.Hit
+	lastError string
+}
+
+// next returns the first replica that was not tried, or false.
+func (s *shardState) next() (membership.BackendServer, bool) {
+	for _, r := range s.replicas {
+		if !s.tried[r.ID] {
+			return r, true
+		}
+	}
+	return membership.BackendServer{}, false
+}
--- /dev/null
+++ b/pkg/owner/attempt.go
@@ -0,0 +1,175 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/admission"
+	"github.com/sycamorelift/sycamorelift/pkg/backend"
+	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// attemptRun is one attempt on one backend server.
+type attemptRun struct {
+	owner    *Owner
+	request  *peerpb.SearchRequest
+	attempt  *peerpb.ShardAttempt
+	arrival  time.Time // at the entry instance, in this instance's clock
+	deadline time.Time
+	queued   time.Duration
+	service  time.Duration
+}
+
+// run queues the attempt, calls the backend server and returns the reply.
+func (a *attemptRun) run(ctx context.Context) shardReply {
+	limits := Limits{Slots: int(a.request.Slots), Connections: int(a.request.Connections)}
+	r, ok := a.owner.replicas.get(a.attempt.BackendServerId, limits)
+	if !ok {
+		return a.refused(peerpb.ResultStatus_UNREACHABLE, "backend server is not in the view")
+	}
+	grant, err := a.acquire(ctx, r)
+	if err != nil {
+		return a.shed(err)
+	}
+	started := a.owner.config.Now()
+	reply := a.call(ctx, r)
+	a.service = a.owner.config.Now().Sub(started)
+	reply.result.ServiceUs = a.service.Microseconds()
+	grant.Release(a.service, reply.result.Status == peerpb.ResultStatus_OK)
+	return reply
+}
+
+func (a *attemptRun) acquire(ctx context.Context, r *replica) (*admission.Grant, error) {
+	started := a.owner.config.Now()
+	grant, err := r.queue.Acquire(ctx, admission.Request{
+		Priority: int(a.request.Priority),
+		Arrival:  a.arrival,
+		Deadline: a.deadline,
+	})
+	a.queued = a.owner.config.Now().Sub(started)
+	return grant, err
+}
+
+// call checks, right before sending, everything that may have changed while
+// the attempt was queued or the process was paused.
+func (a *attemptRun) call(ctx context.Context, r *replica) shardReply {
+	config := a.owner.config
+	config.Control.EnsureFresh(ctx)
+	now := config.Now()
+	if !now.Before(a.deadline) {
+		return a.refused(peerpb.ResultStatus_DEADLINE, "deadline passed before sending")
+	}
+	if !config.View.MayReceive(r.server.ID, now) {
+		reply := a.refused(peerpb.ResultStatus_DRAINING, "backend server is leaving")
+		reply.result.Draining = true
+		return reply
+	}
+	if err := config.Guard.Admit(a.request.Fingerprint, int(a.request.CrashLimit), now); err != nil {
+		return a.refused(peerpb.ResultStatus_QUARANTINED, err.Error())
+	}
+	config.Guard.Begin(a.request.Fingerprint, r.server, now)
+	found, err := r.pool.Search(ctx, a.searchCall(now))
+	config.Guard.End(a.request.Fingerprint, r.server.ID, crashOutcome(err), config.Now())
+	if err != nil {
+		return a.failed(r, err)
+	}
+	a.observe(r, found.Draining, found.Incarnation)
+	return a.succeeded(found)
+}
+
+func (a *attemptRun) searchCall(now time.Time) backend.SearchCall {
+	return backend.SearchCall{
+		Request:  a.request.RequestId,
+		Attempt:  int(a.attempt.Attempt),
+		Shard:    int(a.attempt.Shard),
+		Snapshot: a.request.Snapshot,
+		Timeout:  a.deadline.Sub(now),
+		Query:    a.request.Query,
+		Limit:    int(a.request.Limit),
+	}
+}
+
+// observe reports the backend server's own drain signal.
+func (a *attemptRun) observe(r *replica, draining bool, incarnation string) {
+	config := a.owner.config
+	now := config.Now()
+	config.View.SeenIncarnation(r.server.ID, incarnation, now)
+	if draining && config.View.Drain(r.server.ID, incarnation, now) {
+		config.Logger.Info("backend server is draining", "backend_server", r.server.ID)
+		config.Control.AddNotice(&peerpb.Notice{
+			Kind:        peerpb.Notice_BACKEND_SERVER_DRAINING,
+			Subject:     r.server.ID,
+			Incarnation: incarnation,
+			Observer:    config.SelfID,
+		})
+	}
+}
+
+func (a *attemptRun) succeeded(found *backend.SearchReply) shardReply {
+	result := a.result(peerpb.ResultStatus_OK, peerpb.RunState_RUN_STATE_RUN)
+	result.From, result.To, result.Documents = found.From, found.To, found.Documents
+	result.Snapshot = found.Snapshot
+	result.Snapshots = found.Snapshots
+	result.Draining = found.Draining
+	hits := make([]*peerpb.Hit, 0, len(found.Hits))
+	for _, h := range found.Hits {
+		hits = append(hits, &peerpb.Hit{Shard: a.attempt.Shard, Key: h.Key, Score: h.Score, Document: h.Document})
+	}
+	return shardReply{result: result, hits: hits}
+}
+
+func (a *attemptRun) failed(r *replica, err error) shardReply {
+	var call *backend.CallError
+	if !errors.As(err, &call) {
+		result := a.result(peerpb.ResultStatus_UNREACHABLE, peerpb.RunState_RUN_STATE_UNKNOWN)
+		result.Detail = err.Error()
+		return shardReply{result: result}
+	}
+	a.observe(r, call.Draining, call.Incarnation)
+	result := a.result(call.Status, call.Run)
+	result.Snapshots = call.Snapshots
+	result.Draining = call.Draining
+	result.Detail = call.Detail
+	return shardReply{result: result}
+}
+
+// shed reports an attempt that left the queue without a slot.
+func (a *attemptRun) shed(err error) shardReply {
+	status := peerpb.ResultStatus_SHED
+	if errors.Is(err, context.DeadlineExceeded) {
+		status = peerpb.ResultStatus_DEADLINE
+	}
+	return a.refused(status, err.Error())
+}
+
+func (a *attemptRun) refused(status peerpb.ResultStatus, detail string) shardReply {
+	result := a.result(status, peerpb.RunState_RUN_STATE_NOT_RUN)
+	result.Detail = detail
+	return shardReply{result: result}
+}
+
+func (a *attemptRun) result(status peerpb.ResultStatus, run peerpb.RunState) *peerpb.ShardResult {
+	return &peerpb.ShardResult{
+		Shard:           a.attempt.Shard,
+		Attempt:         a.attempt.Attempt,
+		BackendServerId: a.attempt.BackendServerId,
+		Status:          status,
+		Run:             run,
+		QueueUs:         a.queued.Microseconds(),
+	}
+}
+
+// crashOutcome tells the guard how a call ended.
+func crashOutcome(err error) crashguard.Outcome {
+	var call *backend.CallError
+	switch {
+	case err == nil:
+		return crashguard.Succeeded
+	case errors.As(err, &call) && call.Status == peerpb.ResultStatus_CRASHED:
+		return crashguard.Crashed
+	default:
+		return crashguard.Other
+	}
+}
--- /dev/null
+++ b/pkg/owner/replica.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/admission"
+	"github.com/sycamorelift/sycamorelift/pkg/backend"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+)
+
+// replica is the owner's state for one backend server.
+type replica struct {
+	server membership.BackendServer
+	queue  *admission.Queue
+	pool   *backend.Pool
+
+	mu       sync.Mutex
+	limits   Limits    // guarded by mu
+	rank     int       // guarded by mu
+	lastUsed time.Time // guarded by mu
+}
+
+// adjust applies the limits of the request's bundle and the owner's rank.
+func (r *replica) adjust(limits Limits, rank int, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastUsed = now
+	if r.limits == limits && r.rank == rank {
+		return
+	}
+	r.limits, r.rank = limits, rank
+	r.queue.SetSlots(limits.Slots)
+	r.pool.SetConnections(connectionQuota(rank, limits.Connections))
+}
+
+// idleSince returns when the replica was last used.
+func (r *replica) idleSince() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastUsed
+}
--- /dev/null
+++ b/pkg/owner/replicas.go
@@ -0,0 +1,83 @@
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/admission"
+	"github.com/sycamorelift/sycamorelift/pkg/backend"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+)
+
+// replicaIdle is how long an unused replica keeps its pool and queue.
+const replicaIdle = 2 * time.Minute
+
+// replicas holds the state of the backend servers that this instance calls.
+type replicas struct {
+	view    *membership.View
+	selfID  string
+	options backend.Options
+	now     func() time.Time
+
+	mu   sync.Mutex
+	byID map[string]*replica // guarded by mu
+}
+
+// get returns the replica's state, creating it on first use. The result is
+// false when the view does not know the backend server.
+func (rs *replicas) get(serverID string, limits Limits) (*replica, bool) {
+	server, ok := rs.view.Server(serverID)
+	if !ok {
+		return nil, false
+	}
+	now := rs.now()
+	rank := rs.view.RankOf(serverID, rs.selfID, now)
+	r := rs.lookup(server, limits, rank)
+	r.adjust(limits, rank, now)
+	return r, true
+}
+
+func (rs *replicas) lookup(server membership.BackendServer, limits Limits, rank int) *replica {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	r, ok := rs.byID[server.ID]
+	if ok && r.server.Address == server.Address {
+		return r
+	}
+	if ok {
+		go r.pool.Close()
+	}
+	options := rs.options
+	options.Connections = connectionQuota(rank, limits.Connections)
+	r = &replica{
+		server: server,
+		queue:  admission.NewQueue(limits.Slots, rs.now),
+		pool:   backend.NewPool(server, options),
+		limits: limits,
+		rank:   rank,
+	}
+	rs.byID[server.ID] = r
+	return r
+}
+
+// evictIdle closes replicas that were not used for replicaIdle.
+func (rs *replicas) evictIdle(now time.Time) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for id, r := range rs.byID {
+		if now.Sub(r.idleSince()) > replicaIdle {
+			delete(rs.byID, id)
+			go r.pool.Close()
+		}
+	}
+}
+
+// closeAll closes every pool.
+func (rs *replicas) closeAll() {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for id, r := range rs.byID {
+		delete(rs.byID, id)
+		r.pool.Close()
+	}
+}
