--- /dev/null
+++ b/pkg/standin/backendstats.go
@@ -0,0 +1,21 @@
+package standin
+
+import "sync/atomic"
+
+// BackendStats are the counters of a backend server since its start.
+type BackendStats struct {
+	Searches          int64 `json:"searches"`           // executions started
+	Submissions       int64 `json:"submissions"`        // executions
+	Refused           int64 `json:"refused"`            // not run
+	Cancelled         int64 `json:"cancelled"`          // stopped because the caller closed the connection
+	AfterDrain        int64 `json:"after_drain"`        // requests that arrived after the drain's grace
+	Connections       int   `json:"connections"`        // open now
+	PeakConnections   int   `json:"peak_connections"`   // most open at once
+	OpenedConnections int64 `json:"opened_connections"` // accepted
+	OverLimit         int64 `json:"over_limit"`         // connections reset at the limit
+	Crashes           int64 `json:"crashes"`
+}
+
+type backendCounters struct {
+	searches, submissions, refused, cancelled, afterDrain, crashes atomic.Int64
+}
