Add the HTTP/1.1 client to backend servers

Owners need a client with a strict connection quota per backend server, exact run states and submissions that are written at most once. net/http's Transport was ruled out: MaxConnsPerHost cannot change at run time, it replays requests by its own rules, and it has no hook immediately before the first byte. The pool keeps net.Conn connections without a goroutine per idle connection and uses net/http only to encode requests and parse replies.

An idle connection is peeked before use, so that a connection which the server closed while idle is not reported as a crash of the next request; a connection lost during a call is therefore a crash and is not retried here.

--- /dev/null
+++ b/pkg/backend/exchange.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// reply is a fully read HTTP reply.
+type reply struct {
+	status int
+	state  ServerState
+	body   []byte
+	close  bool // the server closes the connection
+}
+
+// newRequest builds the HTTP request of a call. Connection reuse is HTTP/1.1's
+// default; submissions ask the server to close.
+func (p *Pool) newRequest(ctx context.Context, path string, body []byte) (*http.Request, error) {
+	scheme := "http"
+	if p.opts.TLS != nil {
+		scheme = "https"
+	}
+	url := scheme + "://" + p.server.Address + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	if p.opts.Zone != "" {
+		req.Header.Set(HeaderZone, p.opts.Zone)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		req.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	return req, nil
+}
+
+// exchange writes the request and reads the whole reply. Cancellation of the
+// context closes the connection, which cancels the request at the server.
+func (p *Pool) exchange(ctx context.Context, conn *connection, req *http.Request, progress time.Duration) (*reply, error) {
+	deadline, _ := ctx.Deadline()
+	conn.begin(progress, deadline, p.opts.MaxReplyBytes)
+	stop := context.AfterFunc(ctx, conn.close)
+	defer stop()
+	if err := req.Write(conn); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(conn.reader, req)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.ContentLength < 0 {
+		return nil, invalidReply("reply without Content-Length", nil).withState(parseServerState(resp.Header))
+	}
+	return &reply{status: resp.StatusCode, state: parseServerState(resp.Header), body: body, close: resp.Close}, nil
+}
+
+// classify turns a failure after the first byte may have been written into a
+// CallError. The run state is unknown in every case.
+func classify(ctx context.Context, conn *connection, err error) *CallError {
+	var call *CallError
+	var netErr net.Error
+	switch {
+	case errors.As(err, &call):
+		return call
+	case ctx.Err() != nil:
+		return unknownRun(peerpb.ResultStatus_DEADLINE, ctx.Err().Error(), ctx.Err())
+	case errors.Is(err, errReplyTooLarge):
+		return invalidReply(err.Error(), err)
+	case errors.Is(err, os.ErrDeadlineExceeded) && deadlinePassed(conn.deadline):
+		return unknownRun(peerpb.ResultStatus_DEADLINE, "deadline exceeded", context.DeadlineExceeded)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return unknownRun(peerpb.ResultStatus_UNREACHABLE, "no progress within "+conn.progress.String(), err)
+	case conn.received > 0 && errors.Is(err, io.ErrUnexpectedEOF):
+		return invalidReply("truncated reply", err)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		return unknownRun(peerpb.ResultStatus_CRASHED, "connection lost: "+err.Error(), err)
+	default:
+		return invalidReply(err.Error(), err)
+	}
+}
+
+func deadlinePassed(deadline time.Time) bool {
+	return !deadline.IsZero() && !time.Now().Before(deadline)
+}
+
+// acquireError turns a failure to get a connection into a CallError. Nothing
+// has been written, so the request has not run.
+func acquireError(ctx context.Context, err error) *CallError {
+	if ctx.Err() != nil {
+		return notRun(peerpb.ResultStatus_DEADLINE, "no connection before the deadline", ctx.Err())
+	}
+	return notRun(peerpb.ResultStatus_UNREACHABLE, err.Error(), err)
+}
--- /dev/null
+++ b/pkg/backend/refusal.go
@@ -0,0 +1,47 @@
+package backend
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// refusal is the body of a reply to a request that was not run.
+type refusal struct {
+	NotRun  bool   `json:"not_run"`
+	Reason  string `json:"reason"`
+	Request string `json:"request"` // optional; must match when present
+}
+
+// refusalKey identifies a refusal of the protocol.
+type refusalKey struct {
+	status int
+	reason string
+}
+
+var refusals = map[refusalKey]peerpb.ResultStatus{
+	{http.StatusServiceUnavailable, "shed"}:     peerpb.ResultStatus_SHED,
+	{http.StatusServiceUnavailable, "draining"}: peerpb.ResultStatus_DRAINING,
+	{http.StatusServiceUnavailable, "cold"}:     peerpb.ResultStatus_COLD,
+	{http.StatusGone, "snapshot-gone"}:          peerpb.ResultStatus_SNAPSHOT_GONE,
+	{http.StatusGatewayTimeout, "deadline"}:     peerpb.ResultStatus_DEADLINE,
+}
+
+// parseRefusal turns a reply other than 200 into an error. Only the refusals
+// of the protocol count as not run; any other reply leaves it unknown.
+func parseRefusal(r *reply, request string) *CallError {
+	var body refusal
+	if err := json.Unmarshal(r.body, &body); err != nil {
+		return invalidReply("HTTP status "+strconv.Itoa(r.status), err).withState(r.state)
+	}
+	status, known := refusals[refusalKey{r.status, body.Reason}]
+	if !known || !body.NotRun {
+		return invalidReply("HTTP status "+strconv.Itoa(r.status)+", reason "+strconv.Quote(body.Reason), nil).withState(r.state)
+	}
+	if body.Request != "" && body.Request != request {
+		return invalidReply("refusal of another request", nil).withState(r.state)
+	}
+	return notRun(status, "refused: "+body.Reason, nil).withState(r.state)
+}
--- /dev/null
+++ b/pkg/backend/search.go
@@ -0,0 +1,158 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+type searchBody struct {
+	Query string `json:"query"`
+	Limit int32  `json:"limit"`
+}
+
+type searchReplyBody struct {
+	Request   *string `json:"request"`
+	Attempt   *int32  `json:"attempt"`
+	Shard     *int32  `json:"shard"`
+	Snapshot  *int64  `json:"snapshot"`
+	From      string  `json:"from"`
+	To        string  `json:"to"`
+	Documents int64   `json:"documents"`
+	Hits      []Hit   `json:"hits"`
+	Complete  bool    `json:"complete"`
+}
+
+// Search runs one search attempt. Its error is a *CallError.
+//
+// A reused connection on which nothing arrives within the progress timeout may
+// have become unresponsive while the server is healthy. The pool then closes
+// its other idle connections and tries once on a new one before it blames the
+// server. Searches are idempotent, so this is safe.
+func (p *Pool) Search(ctx context.Context, call SearchCall) (*SearchReply, error) {
+	ctx, span := p.startSpan(ctx, "backend.search", call.Request, call.Attempt, call.Shard)
+	defer span.End()
+	result, silent, err := p.searchOnce(ctx, call, false)
+	if silent {
+		result, _, err = p.searchOnce(ctx, call, true)
+		markMaybeRun(err)
+	}
+	if err != nil {
+		recordError(span, err)
+		return nil, err
+	}
+	return result, nil
+}
+
+// markMaybeRun removes the claim that the request has not run: it may have run
+// on the connection that was given up.
+func markMaybeRun(err error) {
+	var failure *CallError
+	if errors.As(err, &failure) {
+		failure.Run = peerpb.RunState_RUN_STATE_UNKNOWN
+	}
+}
+
+// searchOnce reports silent when a reused connection made no progress.
+func (p *Pool) searchOnce(ctx context.Context, call SearchCall, fresh bool) (result *SearchReply, silent bool, err error) {
+	conn, err := p.acquire(ctx, fresh)
+	if err != nil {
+		return nil, false, acquireError(ctx, err)
+	}
+	req, err := p.searchRequest(ctx, call)
+	if err != nil {
+		p.discard(conn)
+		return nil, false, notRun(peerpb.ResultStatus_INVALID_REPLY, err.Error(), err)
+	}
+	start := time.Now()
+	r, err := p.exchange(ctx, conn, req, p.opts.ProgressTimeout)
+	if err != nil {
+		failure := classify(ctx, conn, err)
+		p.discard(conn)
+		silent = conn.reused && conn.received == 0 && failure.Status == peerpb.ResultStatus_UNREACHABLE
+		if silent {
+			p.reportSilent(start)
+		}
+		return nil, silent, failure
+	}
+	result, err = parseSearchReply(r, call)
+	p.finish(ctx, conn, r, err)
+	return result, false, err
+}
+
+func (p *Pool) reportSilent(start time.Time) {
+	dropped := p.dropIdle(start)
+	p.opts.Logger.Warn("connection to backend server is unresponsive",
+		"backend_server", p.server.ID, "idle_connections_closed", dropped)
+}
+
+// finish returns the connection to the pool unless its state is in doubt.
+func (p *Pool) finish(ctx context.Context, conn *connection, r *reply, err error) {
+	var failure *CallError
+	invalid := errors.As(err, &failure) && failure.Status == peerpb.ResultStatus_INVALID_REPLY
+	if invalid || r.close || ctx.Err() != nil || conn.reader.Buffered() > 0 {
+		p.discard(conn)
+		return
+	}
+	p.release(conn)
+}
+
+func (p *Pool) searchRequest(ctx context.Context, call SearchCall) (*http.Request, error) {
+	body, err := json.Marshal(searchBody{Query: call.Query, Limit: call.Limit})
+	if err != nil {
+		return nil, err
+	}
+	req, err := p.newRequest(ctx, "/v1/search", body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(HeaderRequest, call.Request)
+	req.Header.Set(HeaderAttempt, strconv.Itoa(int(call.Attempt)))
+	req.Header.Set(HeaderShard, strconv.Itoa(int(call.Shard)))
+	req.Header.Set(HeaderSnapshot, strconv.FormatInt(call.Snapshot, 10))
+	return req, nil
+}
+
+func parseSearchReply(r *reply, call SearchCall) (*SearchReply, error) {
+	if r.status != http.StatusOK {
+		return nil, parseRefusal(r, call.Request)
+	}
+	var body searchReplyBody
+	if err := json.Unmarshal(r.body, &body); err != nil {
+		return nil, invalidReply("malformed reply", err).withState(r.state)
+	}
+	if mismatch := body.mismatch(call); mismatch != "" {
+		return nil, invalidReply(mismatch, nil).withState(r.state)
+	}
+	return &SearchReply{
+		ServerState: r.state,
+		Snapshot:    *body.Snapshot,
+		From:        body.From,
+		To:          body.To,
+		Documents:   body.Documents,
+		Hits:        body.Hits,
+	}, nil
+}
+
+// mismatch names the first field that shows that the reply is not the whole
+// reply to this call.
+func (b *searchReplyBody) mismatch(call SearchCall) string {
+	switch {
+	case !b.Complete:
+		return "incomplete reply"
+	case b.Request == nil || *b.Request != call.Request:
+		return "reply to another request"
+	case b.Attempt == nil || *b.Attempt != call.Attempt:
+		return "reply to another attempt"
+	case b.Shard == nil || *b.Shard != call.Shard:
+		return "reply of another shard"
+	case b.Snapshot == nil || *b.Snapshot != call.Snapshot:
+		return "reply of another snapshot"
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/backend/span.go
@@ -0,0 +1,29 @@
+package backend
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const tracerName = "github.com/sycamorelift/sycamorelift/pkg/backend"
+
+// startSpan starts the client span of one call.
+func (p *Pool) startSpan(ctx context.Context, name, request string, attempt, shard int32) (context.Context, trace.Span) {
+	return otel.Tracer(tracerName).Start(ctx, name,
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(
+			attribute.String("sycamorelift.request", request),
+			attribute.Int("sycamorelift.attempt", int(attempt)),
+			attribute.Int("sycamorelift.shard", int(shard)),
+			attribute.String("sycamorelift.backend_server", p.server.ID),
+		))
+}
+
+func recordError(span trace.Span, err error) {
+	span.RecordError(err)
+	span.SetStatus(codes.Error, err.Error())
+}
