--- /dev/null
+++ b/pkg/admission/oracle_test.go
@@ -0,0 +1,216 @@
+package admission
+
+import (
+	"context"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// oracle keeps waiting requests unsorted and sorts a copy whenever it needs
+// the order. It shares no code with the queue but the service time estimate.
+type oracle struct {
+	limit, running int
+	bound          int
+	waiting        []*waiter
+	service        time.Duration
+}
+
+func (o *oracle) sorted() []*waiter {
+	out := append([]*waiter(nil), o.waiting...)
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i].request, out[j].request
+		if a.Priority == b.Priority {
+			return a.Arrival.UnixNano() < b.Arrival.UnixNano()
+		}
+		return a.Priority < b.Priority
+	})
+	return out
+}
+
+func (o *oracle) drop(w *waiter) {
+	for i := range o.waiting {
+		if o.waiting[i] == w {
+			o.waiting = append(o.waiting[:i:i], o.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+func (o *oracle) late(r Request, now time.Time, wait time.Duration) bool {
+	if !now.Before(r.Deadline) {
+		return true
+	}
+	return o.running > 0 && now.Add(wait+o.service).After(r.Deadline)
+}
+
+// enter returns the expected reason of refusal, the displaced waiter, and
+// whether a slot is granted at once.
+func (o *oracle) enter(r Request, now time.Time) (reason Reason, displaced *waiter, granted bool) {
+	if len(o.waiting) == 0 && o.running < o.limit {
+		if o.late(r, now, 0) {
+			return ReasonDeadline, nil, false
+		}
+		o.running++
+		return "", nil, true
+	}
+	ahead := 0
+	for _, w := range o.waiting {
+		if w.request.Priority < r.Priority ||
+			w.request.Priority == r.Priority && !w.request.Arrival.After(r.Arrival) {
+			ahead++
+		}
+	}
+	if o.late(r, now, o.service*time.Duration(ahead+1)/time.Duration(o.limit)) {
+		return ReasonDeadline, nil, false
+	}
+	if len(o.waiting) == o.bound {
+		if ahead == o.bound {
+			return ReasonQueueFull, nil, false
+		}
+		displaced = o.sorted()[o.bound-1]
+		o.drop(displaced)
+	}
+	return "", displaced, false
+}
+
+// dispatch returns the waiters that are granted and those that are shed.
+func (o *oracle) dispatch(now time.Time) (granted, shed []*waiter) {
+	for _, w := range o.sorted() {
+		if o.running >= o.limit {
+			break
+		}
+		o.drop(w)
+		if o.late(w.request, now, 0) {
+			shed = append(shed, w)
+			continue
+		}
+		o.running++
+		granted = append(granted, w)
+	}
+	return granted, shed
+}
+
+// machine drives a queue through its unblocking half, in step with the oracle.
+type machine struct {
+	clock  *clock
+	queue  *Queue
+	oracle oracle
+	grants int
+}
+
+func (m *machine) enter(t *rapid.T) {
+	r := Request{
+		Priority: rapid.IntRange(0, 3).Draw(t, "priority"),
+		Arrival:  m.clock.at.Add(-time.Duration(rapid.IntRange(0, 5).Draw(t, "age")) * time.Millisecond),
+		Deadline: m.clock.at.Add(time.Duration(rapid.IntRange(-1, 400).Draw(t, "left")) * time.Millisecond),
+	}
+	reason, displaced, granted := m.oracle.enter(r, m.clock.at)
+	w, grant, shed := m.queue.enter(r)
+	if shed != nil {
+		equal(t, "reason", shed.Reason, reason)
+		return
+	}
+	equal(t, "refused", "", reason)
+	equal(t, "granted at once", grant != nil, granted)
+	if displaced != nil {
+		m.checkShed(t, displaced, ReasonDisplaced)
+	}
+	if grant != nil {
+		m.grants++
+		return
+	}
+	m.oracle.waiting = append(m.oracle.waiting, w)
+}
+
+func (m *machine) release(t *rapid.T) {
+	if m.grants == 0 {
+		t.Skip("nothing runs")
+	}
+	service := time.Duration(rapid.IntRange(0, 50).Draw(t, "service")) * time.Millisecond
+	ok := rapid.IntRange(0, 4).Draw(t, "shed by server") > 0
+	m.grants--
+	m.queue.release(service, ok)
+	m.oracle.running--
+	m.settle(t)
+}
+
+// settle takes the limit and the estimate from the queue and compares what is
+// dispatched under them.
+func (m *machine) settle(t *rapid.T) {
+	m.oracle.limit = m.queue.limiter.current()
+	m.oracle.service = m.queue.service
+	granted, shed := m.oracle.dispatch(m.clock.at)
+	for _, w := range granted {
+		select {
+		case <-w.done:
+		default:
+			t.Fatalf("not granted: %+v", w.request)
+		}
+		equal(t, "shed", w.err != nil, false)
+		m.grants++
+	}
+	for _, w := range shed {
+		m.checkShed(t, w, ReasonDeadline)
+	}
+}
+
+func (m *machine) checkShed(t *rapid.T, w *waiter, reason Reason) {
+	select {
+	case <-w.done:
+	default:
+		t.Fatalf("not shed: %+v", w.request)
+	}
+	if w.err == nil || w.err.Reason != reason {
+		t.Fatalf("shed with %v, want %s", w.err, reason)
+	}
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	if len(m.oracle.waiting) == 0 {
+		t.Skip("nothing waits")
+	}
+	w := rapid.SampledFrom(m.oracle.waiting).Draw(t, "cancelled")
+	_ = m.queue.leave(w, context.Canceled)
+	m.oracle.drop(w)
+}
+
+// Guards against serving out of order, exceeding the limit, losing a slot and
+// running a request that was refused.
+func TestQueueMatchesOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		m := &machine{clock: newClock()}
+		m.queue = NewQueue(slots, m.clock.now)
+		m.queue.bound = rapid.IntRange(1, 8).Draw(t, "bound")
+		m.oracle.limit, m.oracle.bound = slots, m.queue.bound
+		t.Repeat(map[string]func(*rapid.T){
+			"enter":   m.enter,
+			"burst": func(t *rapid.T) {
+				for range 10 {
+					m.enter(t)
+				}
+			},
+			"release": m.release,
+			"cancel":  m.cancel,
+			"advance": func(t *rapid.T) {
+				m.clock.advance(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			},
+			"slots": func(t *rapid.T) {
+				m.queue.SetSlots(rapid.IntRange(1, 4).Draw(t, "slots"))
+				m.settle(t)
+			},
+			"": func(t *rapid.T) {
+				stats := m.queue.Stats()
+				equal(t, "running", stats.Running, m.oracle.running)
+				equal(t, "running", stats.Running, m.grants)
+				equal(t, "waiting", stats.Waiting, len(m.oracle.waiting))
+				if stats.Limit < 1 || stats.Limit > 4 {
+					t.Fatalf("limit %d", stats.Limit)
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/pkg/admission/queue_test.go
@@ -0,0 +1,91 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+)
+
+func acquire(t *testing.T, q *Queue, ctx context.Context, r Request) *Grant {
+	t.Helper()
+	g, err := q.Acquire(ctx, r)
+	if err != nil {
+		t.Fatalf("acquire: %v", err)
+	}
+	return g
+}
+
+// Guards against a limit that leaves [1, slots], that falls several times in
+// one burst of refusals, or that never recovers.
+func TestLimitAdapts(t *testing.T) {
+	clock := newClock()
+	q := NewQueue(4, clock.now)
+	acquire(t, q, t.Context(), Request{}).Release(10*time.Millisecond, true)
+	for range 5 {
+		acquire(t, q, t.Context(), Request{}).Release(0, false)
+	}
+	equal(t, "limit after a burst", q.Stats().Limit, 2)
+	for range 20 {
+		clock.advance(time.Second)
+		acquire(t, q, t.Context(), Request{}).Release(0, false)
+	}
+	equal(t, "least limit", q.limiter.limit, 1)
+	for range 100 {
+		acquire(t, q, t.Context(), Request{}).Release(10*time.Millisecond, true)
+	}
+	equal(t, "limit after recovery", q.Stats().Limit, 4)
+}
+
+// Guards against a slot that is lost when a cancelled waiter was granted, and
+// against releasing one grant twice.
+func TestCancelledWaiterKeepsNoSlot(t *testing.T) {
+	q := NewQueue(1, newClock().now)
+	running := acquire(t, q, t.Context(), Request{})
+	w, _, _ := q.enter(Request{})
+	running.Release(0, true)
+	running.Release(0, true)
+	equal(t, "running", q.Stats().Running, 1)
+	var shed *ShedError
+	if err := q.leave(w, context.Canceled); !errors.As(err, &shed) || !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v", err)
+	}
+	equal(t, "reason", shed.Reason, ReasonCancelled)
+	equal(t, "running", q.Stats().Running, 0)
+}
+
+// Guards against a recent wait that stays high without traffic: a rule that
+// refuses on it would never stop.
+func TestRecentWaitDecays(t *testing.T) {
+	clock := newClock()
+	q := NewQueue(1, clock.now)
+	running := acquire(t, q, t.Context(), Request{})
+	w, _, _ := q.enter(Request{})
+	clock.advance(time.Second)
+	running.Release(0, true)
+	g, err := q.outcome(w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	equal(t, "wait of the grant", g.Wait(), time.Second)
+	equal(t, "recent wait", q.Wait(), 100*time.Millisecond)
+	clock.advance(10 * time.Second)
+	equal(t, "recent wait is small", q.Wait() < time.Millisecond, true)
+}
+
+// Guards against a service time estimate that is too high and never corrected,
+// because every request is refused on it.
+func TestIdleServerTakesRequestDespiteEstimate(t *testing.T) {
+	clock := newClock()
+	q := NewQueue(1, clock.now)
+	acquire(t, q, t.Context(), Request{}).Release(time.Hour, true)
+	r := Request{Deadline: clock.at.Add(100 * time.Millisecond)}
+	g := acquire(t, q, t.Context(), r)
+	_, err := q.Acquire(t.Context(), r)
+	var shed *ShedError
+	if !errors.As(err, &shed) {
+		t.Fatalf("second request: %v", err)
+	}
+	equal(t, "reason", shed.Reason, ReasonDeadline)
+	g.Release(time.Millisecond, true)
+}
