--- /dev/null
+++ b/pkg/crashguard/suspicion.go
@@ -0,0 +1,96 @@
+package crashguard
+
+import (
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+)
+
+// Lost records that a backend server was found unreachable without a running
+// request. Such a loss can explain crashes in the same zone.
+func (g *Guard) Lost(server membership.BackendServer, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.losses.unreachable(server.ID, server.Zone, now)
+}
+
+// Learn adds a report of another instance. Observed is in this instance's
+// clock.
+func (g *Guard) Learn(fingerprint uint64, serverID, zone string, observed time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	lost := g.losses.reported(serverID, zone, observed)
+	lost.running[fingerprint] = struct{}{}
+	if g.good.succeededSince(fingerprint, observed) {
+		return
+	}
+	g.incriminateLocked(fingerprint, crash{serverID: serverID, zone: zone, at: observed})
+}
+
+// KnownGood reports whether the request has succeeded and is not suspected, so
+// that it needs no canary.
+func (g *Guard) KnownGood(fingerprint uint64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.currentLocked(fingerprint, now) == nil && g.good.has(fingerprint)
+}
+
+// MarkGood records that the request has succeeded. OutcomeOK implies it.
+func (g *Guard) MarkGood(fingerprint uint64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.markGoodLocked(fingerprint, now)
+}
+
+// CanaryShard returns the shard that a request not yet known to be good is
+// sent to first, or -1 when shards is empty. All instances choose the same, so
+// that retries meet the owners that have observed earlier crashes.
+func (g *Guard) CanaryShard(fingerprint uint64, shards []int) int {
+	return canaryShard(fingerprint, shards)
+}
+
+func (g *Guard) markGoodLocked(fingerprint uint64, now time.Time) {
+	g.good.add(fingerprint, now)
+	if _, ok := g.suspects[fingerprint]; ok {
+		delete(g.suspects, fingerprint)
+		g.forgetOrderLocked(fingerprint)
+	}
+}
+
+// incriminateLocked reports whether the crash was new.
+func (g *Guard) incriminateLocked(fingerprint uint64, c crash) bool {
+	s := g.suspects[fingerprint]
+	if s == nil {
+		if len(g.suspects) >= maxSuspects {
+			delete(g.suspects, g.order[0])
+			g.order = g.order[1:]
+		}
+		s = &suspect{}
+		g.suspects[fingerprint] = s
+		g.order = append(g.order, fingerprint)
+	}
+	return s.add(c)
+}
+
+// currentLocked returns the suspect, or nil when its crashes have expired.
+func (g *Guard) currentLocked(fingerprint uint64, now time.Time) *suspect {
+	s := g.suspects[fingerprint]
+	if s == nil {
+		return nil
+	}
+	if now.Sub(s.last()) >= QuarantineTime {
+		delete(g.suspects, fingerprint)
+		g.forgetOrderLocked(fingerprint)
+		return nil
+	}
+	return s
+}
+
+func (g *Guard) forgetOrderLocked(fingerprint uint64) {
+	for i, other := range g.order {
+		if other == fingerprint {
+			g.order = append(g.order[:i:i], g.order[i+1:]...)
+			return
+		}
+	}
+}
