Add the membership view with owners, drain notices and suspicion

Every query asks the view for the owners of each shard, so the rankings are computed once per change and read without a lock. go-rendezvous was ruled out for the ranking: it returns only the first rank and hides the weights, so rank 2 and 3 would need a new ring each.

--- /dev/null
+++ b/pkg/membership/view.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// View is one instance's view of the other instances and of the backend
+// servers. It is safe for concurrent use. Slices that its methods return are
+// shared and must not be modified.
+type View struct {
+	selfID   string
+	selfZone string
+
+	roster  atomic.Pointer[roster]
+	current atomic.Pointer[epoch] // nil after a change, until the next read
+
+	// lastSeen holds the incarnation seen last by seenKey; it is written with mu
+	// held and read without.
+	lastSeen sync.Map
+
+	mu               sync.Mutex
+	drainedServers   *drainLedger // guarded by mu
+	drainedInstances *drainLedger // guarded by mu
+	suspicion        *suspicion   // guarded by mu
+}
+
+// NewView returns a view without members for the instance selfID in the
+// availability zone selfZone.
+func NewView(selfID, selfZone string) *View {
+	v := &View{
+		selfID:           selfID,
+		selfZone:         selfZone,
+		drainedServers:   newDrainLedger(),
+		drainedInstances: newDrainLedger(),
+		suspicion:        newSuspicion(),
+	}
+	v.roster.Store(newRoster(Members{}, -1))
+	return v
+}
+
+// Apply takes over a published list. A revision that is not newer than the
+// applied one is ignored.
+func (v *View) Apply(m Members, revision int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if revision <= v.roster.Load().revision {
+		return
+	}
+	v.replace(newRoster(m, revision))
+}
+
+// Replace is Apply for a list that the caller has already ordered: it also
+// takes over another list of the same revision.
+func (v *View) Replace(m Members, revision int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if revision < v.roster.Load().revision {
+		return
+	}
+	v.replace(newRoster(m, revision))
+}
+
+// replace installs r. Caller holds v.mu.
+func (v *View) replace(r *roster) {
+	v.roster.Store(r)
+	v.drainedServers.settle(r.serverStates())
+	v.drainedInstances.settle(r.instanceStates())
+	v.suspicion.settle(r.instanceStates())
+	v.lastSeen.Clear()
+	v.current.Store(nil)
+}
+
+// Revision returns the revision of the applied list, -1 before the first.
+func (v *View) Revision() int64 {
+	return v.roster.Load().revision
+}
+
+// epochAt returns the epoch that holds at now.
+func (v *View) epochAt(now time.Time) *epoch {
+	if e := v.current.Load(); e != nil && e.validAt(now) {
+		return e
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e := v.current.Load(); e != nil && e.validAt(now) {
+		return e
+	}
+	e := v.build(now)
+	v.current.Store(e)
+	return e
+}
+
+// Owners returns the owners of a backend server, rank 1 first: usable
+// instances of its availability zone, then others until there are three.
+func (v *View) Owners(serverID string, now time.Time) []Instance {
+	return v.epochAt(now).owners[serverID]
+}
+
+// RankOf returns the rank 1..3 of an instance for a backend server, 0 when it
+// is not an owner.
+func (v *View) RankOf(serverID, instanceID string, now time.Time) int {
+	owners := v.Owners(serverID, now)
+	return 1 + slices.IndexFunc(owners, func(o Instance) bool { return o.ID == instanceID })
+}
+
+// OwnedServers returns the backend servers that this instance owns, by id.
+func (v *View) OwnedServers(now time.Time) []OwnedServer {
+	return v.epochAt(now).owned
+}
+
+// Replicas returns the backend servers of a shard by replica number, without
+// leaving and draining ones.
+func (v *View) Replicas(team, service string, shard int, now time.Time) []BackendServer {
+	return v.epochAt(now).shards[shardKey{team, service, shard}]
+}
+
+// Instances returns the usable instances by id: live, not draining and not
+// suspected.
+func (v *View) Instances(now time.Time) []Instance {
+	return v.epochAt(now).usable
+}
+
+// Server returns a listed backend server in any state.
+func (v *View) Server(id string) (BackendServer, bool) {
+	server, ok := v.roster.Load().servers[id]
+	return server, ok
+}
+
+// Instance returns a listed instance in any state.
+func (v *View) Instance(id string) (Instance, bool) {
+	instance, ok := v.roster.Load().byID[id]
+	return instance, ok
+}
+
+// Listed returns all listed instances by id, in any state.
+func (v *View) Listed() []Instance {
+	candidates := v.roster.Load().instances
+	listed := make([]Instance, 0, len(candidates))
+	for _, c := range candidates {
+		listed = append(listed, c.Instance)
+	}
+	return listed
+}
