Add the client of the configuration service

Documents are read with a size limit of 1 MB and typed errors, so that callers tell a missing key, the read limit and a malformed reply apart. Gets and watches bound their own time, because a connection to the service can become unresponsive.

--- /dev/null
+++ b/pkg/configclient/client_test.go
@@ -0,0 +1,99 @@
+package configclient
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// serve answers every call with one reply.
+func serve(t *testing.T, status int, etag string, body []byte) *Client {
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("ETag", etag)
+		w.WriteHeader(status)
+		_, _ = w.Write(body)
+	}
+	server := httptest.NewServer(http.HandlerFunc(handler))
+	t.Cleanup(server.Close)
+	return New(server.URL+"/", server.Client())
+}
+
+// TestGet guards against a reply that is taken for a document although it is
+// none, above all one that is cut off by the size limit.
+func TestGet(t *testing.T) {
+	ctx := context.Background()
+	document, err := serve(t, 200, `"42"`, []byte("x")).Get(ctx, KeyForTest)
+	if err != nil || document.Revision != 42 || string(document.Data) != "x" {
+		t.Errorf("got %v, %v", document, err)
+	}
+	var missing *NotFoundError
+	if _, err := serve(t, 404, "", nil).Get(ctx, KeyForTest); !errors.As(err, &missing) {
+		t.Errorf("404: %v", err)
+	}
+	var limit *OverLimitError
+	if _, err := serve(t, 429, "", nil).Get(ctx, KeyForTest); !errors.As(err, &limit) {
+		t.Errorf("429: %v", err)
+	}
+	var bad *BadReplyError
+	if _, err := serve(t, 200, `"x"`, nil).Get(ctx, KeyForTest); !errors.As(err, &bad) {
+		t.Errorf("bad ETag: %v", err)
+	}
+	large := bytes.Repeat([]byte("x"), MaxDocumentBytes+1)
+	if _, err := serve(t, 200, `"1"`, large).Get(ctx, KeyForTest); !errors.As(err, &bad) {
+		t.Errorf("large value: %v", err)
+	}
+}
+
+// KeyForTest has an element that needs escaping.
+const KeyForTest = "index/a b/c"
+
+// TestPaths guards against keys and parameters that the service reads
+// differently.
+func TestPaths(t *testing.T) {
+	var paths []string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		paths = append(paths, r.URL.RequestURI())
+		w.WriteHeader(http.StatusNotModified)
+	}))
+	defer server.Close()
+	client := New(server.URL, server.Client())
+	_, _ = client.Get(context.Background(), KeyForTest)
+	change, err := client.Watch(context.Background(), 7, 30*time.Second)
+	if err != nil || change.Revision != 7 || len(change.Keys) != 0 {
+		t.Errorf("304: %v, %v", change, err)
+	}
+	if paths[0] != "/v1/keys/index/a%20b/c" || paths[1] != "/v1/watch?after=7&wait=30s" {
+		t.Errorf("paths %q", paths)
+	}
+}
+
+// TestWatch guards against a malformed reply that is taken for no change.
+func TestWatch(t *testing.T) {
+	ctx := context.Background()
+	client := serve(t, 200, "", []byte(`{"revision": 9, "keys": {"bundle": 7}}`))
+	change, err := client.Watch(ctx, 1, 0)
+	if err != nil || change.Revision != 9 || change.Keys["bundle"] != 7 {
+		t.Errorf("got %v, %v", change, err)
+	}
+	var bad *BadReplyError
+	if _, err := serve(t, 200, "", []byte(`{"revision"`)).Watch(ctx, 1, 0); !errors.As(err, &bad) {
+		t.Errorf("malformed: %v", err)
+	}
+}
+
+// TestBackoff guards against retries in step and against an unbounded delay.
+func TestBackoff(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	b := Backoff{Base: 100 * time.Millisecond, Max: time.Second}
+	for failures := 1; failures < 80; failures++ {
+		full := min(b.Max, b.Base<<min(failures-1, 10))
+		if d := b.Delay(failures, random); d < full/2 || d > full {
+			t.Errorf("delay %v after %d failures", d, failures)
+		}
+	}
+}
