Add simulated links between instances and any JSON as payload

Without a delay between instances, fan-out through owners would look faster than direct fan-out, which pays the zone delay at the backend servers. Links also simulate partitions of the fleet.

Payloads of submissions may be any JSON value, as the client sends them.

--- a/pkg/standin/backendprotocol.go
+++ b/pkg/standin/backendprotocol.go
@@ -1,5 +1,10 @@
 package standin
 
+import (
+	"bytes"
+	"encoding/json"
+)
+
 // Headers of the backend server protocol.
 const (
 	HeaderRequest     = "Sycamorelift-Request"
@@ -32,8 +37,22 @@
 }
 
 type submitBody struct {
-	Key     string `json:"key"`
-	Payload string `json:"payload"`
+	Key     string          `json:"key"`
+	Payload json.RawMessage `json:"payload"` // any JSON value
+}
+
+// payloadText returns the payload under which an execution is counted: the
+// text of a JSON string, else the JSON without insignificant spaces.
+func (b submitBody) payloadText() string {
+	var text string
+	if json.Unmarshal(b.Payload, &text) == nil {
+		return text
+	}
+	var compact bytes.Buffer
+	if json.Compact(&compact, b.Payload) != nil {
+		return string(b.Payload)
+	}
+	return compact.String()
 }
 
 type submitReply struct {
--- a/pkg/standin/backendsubmit.go
+++ b/pkg/standin/backendsubmit.go
@@ -25,10 +25,11 @@
 		return
 	}
 	defer c.free()
+	payload := body.payloadText()
 	operation := c.request.Header.Get(HeaderOperation)
 	c.server.counters.submissions.Add(1)
-	c.server.config.Runs.RecordSubmission(operation, c.server.config.Service.Name, body.Payload)
-	if restartAfter, crash := c.server.faults.crashes(body.Payload); crash {
+	c.server.config.Runs.RecordSubmission(operation, c.server.config.Service.Name, payload)
+	if restartAfter, crash := c.server.faults.crashes(payload); crash {
 		c.crash(restartAfter)
 	}
 	factor := c.server.faults.factor(time.Since(c.life.startedAt))
@@ -38,7 +39,7 @@
 		Request:   c.request.Header.Get(HeaderRequest),
 		Attempt:   c.headerInt(HeaderAttempt),
 		Operation: operation,
-		Result:    SubmissionResult(body.Key, body.Payload),
+		Result:    SubmissionResult(body.Key, payload),
 		Run:       true,
 	}))
 }
--- a/pkg/standin/deployment.go
+++ b/pkg/standin/deployment.go
@@ -28,6 +28,7 @@
 	Seed    uint64
 	Config  *ConfigService
 	Delays  *ZoneDelays
+	Network *Network // between instances
 	Runs    *RunLog
 	Servers []*BackendServer // by service, shard, replica
 
@@ -54,6 +55,7 @@
 		served: map[string][]int64{},
 		known:  map[string][]int64{},
 	}
+	d.Network = NewNetwork(d.Delays)
 	if d.Config, err = StartConfigService("", ""); err != nil {
 		return nil, err
 	}
@@ -146,6 +148,7 @@
 
 // Stop ends everything.
 func (d *Deployment) Stop() {
+	d.Network.Heal()
 	var group sync.WaitGroup
 	for _, server := range d.Servers {
 		group.Go(server.Stop)
