--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -94,7 +94,13 @@
 	a.shard.running--
 	q.record.inFlight--
 	q.record.maybe = true
-	q.entry.config.Selector.Cancel(a.server.ID, q.now().Sub(a.started))
+	now := q.now()
+	q.entry.config.Selector.Done(selection.Observation{
+		ServerID: a.server.ID,
+		Service:  serviceKey(q.policy.Team, q.policy.Service),
+		Latency:  now.Sub(a.started),
+		Status:   peerpb.ResultStatus_RESULT_STATUS_UNSPECIFIED,
+	}, now)
 }
 
 // learn keeps what the backend server said about itself.
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -199,7 +199,7 @@
 		}
 	}
 	if config.Options.RandomReplica {
-		return config.Selector.Shuffle(able)
+		return config.Selector.Shuffle(config.Selector.Order(now, able, config.Self.Zone))
 	}
 	return config.Selector.Order(now, able, config.Self.Zone)
 }
--- a/pkg/membership/observe.go
+++ b/pkg/membership/observe.go
@@ -81,3 +81,10 @@
 		v.current.Store(nil)
 	}
 }
+
+// MayReceive reports whether a backend server may receive new work: it is
+// listed as live and has not announced that it drains.
+func (v *View) MayReceive(serverID string, now time.Time) bool {
+	server, ok := v.Server(serverID)
+	return ok && server.State != StateLeaving && !v.IsDraining(serverID, now)
+}
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -70,7 +70,7 @@
 		return a.refused(peerpb.ResultStatus_QUARANTINED, err.Error())
 	}
 	config.Guard.Begin(a.request.Fingerprint, r.server, now)
-	found, err := r.pool.Search(ctx, a.searchCall(now))
+	found, err := r.pool.Search(ctx, a.searchCall())
 	config.Guard.End(a.request.Fingerprint, r.server.ID, crashOutcome(err), config.Now())
 	if err != nil {
 		return a.failed(r, err)
@@ -79,15 +79,14 @@
 	return a.succeeded(found)
 }
 
-func (a *attemptRun) searchCall(now time.Time) backend.SearchCall {
+func (a *attemptRun) searchCall() backend.SearchCall {
 	return backend.SearchCall{
 		Request:  a.request.RequestId,
-		Attempt:  int(a.attempt.Attempt),
-		Shard:    int(a.attempt.Shard),
+		Attempt:  a.attempt.Attempt,
+		Shard:    a.attempt.Shard,
 		Snapshot: a.request.Snapshot,
-		Timeout:  a.deadline.Sub(now),
 		Query:    a.request.Query,
-		Limit:    int(a.request.Limit),
+		Limit:    a.request.Limit,
 	}
 }
 
@@ -95,7 +94,7 @@
 func (a *attemptRun) observe(r *replica, draining bool, incarnation string) {
 	config := a.owner.config
 	now := config.Now()
-	config.View.SeenIncarnation(r.server.ID, incarnation, now)
+	config.View.SeenIncarnation(r.server.ID, incarnation)
 	if draining && config.View.Drain(r.server.ID, incarnation, now) {
 		config.Logger.Info("backend server is draining", "backend_server", r.server.ID)
 		config.Control.AddNotice(&peerpb.Notice{
@@ -166,10 +165,10 @@
 	var call *backend.CallError
 	switch {
 	case err == nil:
-		return crashguard.Succeeded
+		return crashguard.OutcomeOK
 	case errors.As(err, &call) && call.Status == peerpb.ResultStatus_CRASHED:
-		return crashguard.Crashed
+		return crashguard.OutcomeCrashed
 	default:
-		return crashguard.Other
+		return crashguard.OutcomeOther
 	}
 }
--- a/pkg/owner/limits.go
+++ b/pkg/owner/limits.go
@@ -13,12 +13,12 @@
 var connectionShares = [...]int{48, 24, 24}
 
 // connectionQuota returns how many connections the owner of the given rank
-// (0 first) may open. Instances beyond the last rank get one connection: a
+// (1 first) may open. Instances beyond the last rank get one connection: a
 // view that differs must cost speed, not availability, and the backend server
 // enforces its own limit.
 func connectionQuota(rank, connections int) int {
-	if rank < 0 || rank >= len(connectionShares) {
+	if rank < 1 || rank > len(connectionShares) {
 		return 1
 	}
-	return max(1, connections*connectionShares[rank]/100)
+	return max(1, connections*connectionShares[rank-1]/100)
 }
