--- /dev/null
+++ b/pkg/lifecycle/readiness.go
@@ -0,0 +1,19 @@
+package lifecycle
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Readiness answers 200 in the state Ready and 503 otherwise, with the name of
+// the state. Requests to it do not count as in flight.
+func (m *Manager) Readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		state := m.State()
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		if state != Ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		fmt.Fprintln(w, state)
+	})
+}
