Add the instance assembly and submissions at the owner

Need: one process with all roles. Submissions check deadline and view in the send guard, after queueing, because a process can be paused between a slot and the first byte.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"github.com/sycamorelift/sycamorelift/pkg/selection"
 	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
+	"github.com/sycamorelift/sycamorelift/pkg/submission"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -42,6 +43,7 @@
 	Selector        *selection.Selector
 	Guard           *crashguard.Guard
 	Served          *snapshot.Served
+	Submissions     *submission.Router
 	Metrics         Metrics
 	Tracer          trace.Tracer
 	Logger          *slog.Logger
--- /dev/null
+++ b/pkg/entry/submit.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/sycamorelift/sycamorelift/pkg/bundle"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/submission"
+	"github.com/sycamorelift/sycamorelift/pkg/ticket"
+)
+
+// ticketHeader carries the ticket of a submission.
+const ticketHeader = "Sycamorelift-Ticket"
+
+// submitBody is the JSON body of a submission.
+type submitBody struct {
+	Key     string          `json:"key"`
+	Payload json.RawMessage `json:"payload"`
+}
+
+// submitReply is the answer to a submission that has run.
+type submitReply struct {
+	RequestID     string          `json:"request_id"`
+	Run           string          `json:"run"` // always "run"
+	Result        json.RawMessage `json:"result"`
+	Replayed      bool            `json:"replayed"` // stored outcome of an earlier attempt
+	Detail        string          `json:"detail,omitempty"`
+	Instance      string          `json:"instance"`
+	Issuer        string          `json:"issuer"`
+	BundleVersion int64           `json:"bundle_version"`
+	StaleView     bool            `json:"stale_view"`
+}
+
+func (e *Entry) handleSubmit(_ http.ResponseWriter, r *http.Request, c call) (any, error) {
+	token := r.Header.Get(ticketHeader)
+	if token == "" {
+		return nil, invalid(http.StatusBadRequest, "header "+ticketHeader+" is missing; get a ticket first")
+	}
+	var body submitBody
+	if err := decode(r, &body); err != nil {
+		return nil, err
+	}
+	arrived := e.config.Now()
+	stale := e.config.Control.EnsureFresh(r.Context())
+	policy, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission)
+	if err != nil {
+		return nil, err
+	}
+	leave, rule := e.rules.enter(policy, arrived)
+	if rule != nil {
+		// An earlier attempt with this ticket may have run.
+		return nil, byRule(policy, rule, Unknown, "not run by this attempt: the class's limit on this instance is reached")
+	}
+	defer leave()
+	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(policy.Deadline))
+	defer cancel()
+	answer, err := e.config.Submissions.Submit(ctx, submission.Request{
+		RequestID: c.id, Token: token, Team: c.team, Service: c.service, Key: body.Key, Payload: body.Payload,
+		Priority: policy.Priority, Slots: policy.Slots, Connections: policy.Connections,
+	})
+	if err != nil {
+		return nil, submissionRefusal(err)
+	}
+	e.config.Metrics.Count("submissions.run", 1)
+	return submitReply{
+		RequestID: c.id, Run: "run", Result: answer.Result, Replayed: answer.Replayed, Detail: answer.Detail,
+		Instance: e.config.Self.ID, Issuer: answer.Issuer, BundleVersion: policy.BundleVersion, StaleView: stale,
+	}, nil
+}
+
+// submissionRefusal translates a refusal of the router. "not run" is said only
+// when no attempt with the ticket has run and none ever will.
+func submissionRefusal(err error) error {
+	var refused *submission.Refusal
+	if !errors.As(err, &refused) {
+		return err
+	}
+	run := Unknown
+	if refused.NotRun() {
+		run = NotRun
+	}
+	if refused.Reason == submission.ReasonTicket {
+		refusal := invalid(ticketStatus(refused.Ticket), refused.Error())
+		refusal.Run = run
+		return refusal
+	}
+	refusal := shortage(run, string(refused.Reason), refused.Error())
+	if refused.Status == peerpb.ResultStatus_DEADLINE {
+		refusal.Status = http.StatusGatewayTimeout
+	}
+	return refusal
+}
+
+func ticketStatus(kind ticket.Kind) int {
+	switch kind {
+	case ticket.KindConflict:
+		return http.StatusConflict
+	case ticket.KindExpired, ticket.KindIssuerGone:
+		return http.StatusGone
+	default:
+		return http.StatusBadRequest
+	}
+}
--- /dev/null
+++ b/pkg/instance/notices.go
@@ -0,0 +1,40 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// connectNotices applies the notices of other instances and spreads this
+// instance's crash reports.
+func (i *Instance) connectNotices() {
+	i.plane.OnNotice(i.applyNotice)
+	i.guard.OnReport(func(report crashguard.Report) {
+		i.logger.Warn("request crashed a backend server", "fingerprint", report.Fingerprint, "backend_server", report.ServerID)
+		i.plane.AddNotice(&peerpb.Notice{
+			Kind:        peerpb.Notice_REQUEST_CRASHED_SERVER,
+			Subject:     report.ServerID,
+			Fingerprint: report.Fingerprint,
+			Observer:    i.self.ID,
+		})
+	})
+}
+
+func (i *Instance) applyNotice(notice *peerpb.Notice) {
+	now := time.Now()
+	observed := now.Add(-time.Duration(notice.AgeMs) * time.Millisecond)
+	switch notice.Kind {
+	case peerpb.Notice_BACKEND_SERVER_DRAINING:
+		i.view.Drain(notice.Subject, notice.Incarnation, observed)
+	case peerpb.Notice_INSTANCE_DRAINING:
+		i.view.DrainInstance(notice.Subject, notice.Incarnation, observed)
+	case peerpb.Notice_REQUEST_CRASHED_SERVER:
+		zone := ""
+		if server, ok := i.view.Server(notice.Subject); ok {
+			zone = server.Zone
+		}
+		i.guard.Learn(notice.Fingerprint, notice.Subject, zone, observed)
+	}
+}
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -37,10 +37,19 @@
 	reply := a.call(ctx, r)
 	a.service = a.owner.config.Now().Sub(started)
 	reply.result.ServiceUs = a.service.Microseconds()
-	grant.Release(a.service, reply.result.Status == peerpb.ResultStatus_OK)
+	grant.Release(a.measured(reply), reply.result.Status != peerpb.ResultStatus_SHED)
 	return reply
 }
 
+// measured returns the service time for the queue's estimate; only complete
+// replies measure it.
+func (a *attemptRun) measured(reply shardReply) time.Duration {
+	if reply.result.Status != peerpb.ResultStatus_OK {
+		return 0
+	}
+	return a.service
+}
+
 func (a *attemptRun) acquire(ctx context.Context, r *replica) (*admission.Grant, error) {
 	started := a.owner.config.Now()
 	grant, err := r.queue.Acquire(ctx, admission.Request{
@@ -75,7 +84,7 @@
 	if err != nil {
 		return a.failed(r, err)
 	}
-	a.observe(r, found.Draining, found.Incarnation)
+	a.owner.observe(r, found.Draining, found.Incarnation)
 	return a.succeeded(found)
 }
 
@@ -90,22 +99,6 @@
 	}
 }
 
-// observe reports the backend server's own drain signal.
-func (a *attemptRun) observe(r *replica, draining bool, incarnation string) {
-	config := a.owner.config
-	now := config.Now()
-	config.View.SeenIncarnation(r.server.ID, incarnation)
-	if draining && config.View.Drain(r.server.ID, incarnation, now) {
-		config.Logger.Info("backend server is draining", "backend_server", r.server.ID)
-		config.Control.AddNotice(&peerpb.Notice{
-			Kind:        peerpb.Notice_BACKEND_SERVER_DRAINING,
-			Subject:     r.server.ID,
-			Incarnation: incarnation,
-			Observer:    config.SelfID,
-		})
-	}
-}
-
 func (a *attemptRun) succeeded(found *backend.SearchReply) shardReply {
 	result := a.result(peerpb.ResultStatus_OK, peerpb.RunState_RUN_STATE_RUN)
 	result.From, result.To, result.Documents = found.From, found.To, found.Documents
@@ -126,7 +119,7 @@
 		result.Detail = err.Error()
 		return shardReply{result: result}
 	}
-	a.observe(r, call.Draining, call.Incarnation)
+	a.owner.observe(r, call.Draining, call.Incarnation)
 	result := a.result(call.Status, call.Run)
 	result.Snapshots = call.Snapshots
 	result.Draining = call.Draining
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -33,8 +33,11 @@
 	Control Control
 	Guard   *crashguard.Guard
 	Backend backend.Options // Connections is set per backend server
-	Logger  *slog.Logger
-	Now     func() time.Time
+	// DirectInstances is the number of instances that share each backend
+	// server without owners, for the baseline of direct fan-out; 0 is off.
+	DirectInstances int
+	Logger          *slog.Logger
+	Now             func() time.Time
 }
 
 // Owner serves search attempts on backend servers. It is safe for concurrent
@@ -52,6 +55,7 @@
 			view:    config.View,
 			selfID:  config.SelfID,
 			options: config.Backend,
+			direct:  config.DirectInstances,
 			now:     config.Now,
 			byID:    make(map[string]*replica),
 		},
@@ -75,3 +79,19 @@
 
 // String names the service in the supervisor's logs.
 func (o *Owner) String() string { return "owner" }
+
+// observe reports the backend server's own drain signal.
+func (o *Owner) observe(r *replica, draining bool, incarnation string) {
+	config := o.config
+	config.View.SeenIncarnation(r.server.ID, incarnation)
+	if !draining || !config.View.Drain(r.server.ID, incarnation, config.Now()) {
+		return
+	}
+	config.Logger.Info("backend server is draining", "backend_server", r.server.ID)
+	config.Control.AddNotice(&peerpb.Notice{
+		Kind:        peerpb.Notice_BACKEND_SERVER_DRAINING,
+		Subject:     r.server.ID,
+		Incarnation: incarnation,
+		Observer:    config.SelfID,
+	})
+}
--- a/pkg/owner/replica.go
+++ b/pkg/owner/replica.go
@@ -17,21 +17,21 @@
 
 	mu       sync.Mutex
 	limits   Limits    // guarded by mu
-	rank     int       // guarded by mu
+	quota    int       // of connections, guarded by mu
 	lastUsed time.Time // guarded by mu
 }
 
-// adjust applies the limits of the request's bundle and the owner's rank.
-func (r *replica) adjust(limits Limits, rank int, now time.Time) {
+// adjust applies the limits of the request's bundle and the connection quota.
+func (r *replica) adjust(limits Limits, quota int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastUsed = now
-	if r.limits == limits && r.rank == rank {
+	if r.limits == limits && r.quota == quota {
 		return
 	}
-	r.limits, r.rank = limits, rank
+	r.limits, r.quota = limits, quota
 	r.queue.SetSlots(limits.Slots)
-	r.pool.SetConnections(connectionQuota(rank, limits.Connections))
+	r.pool.SetConnections(quota)
 }
 
 // idleSince returns when the replica was last used.
--- a/pkg/owner/replicas.go
+++ b/pkg/owner/replicas.go
@@ -17,6 +17,7 @@
 	view    *membership.View
 	selfID  string
 	options backend.Options
+	direct  int // instances without owners; 0 is off
 	now     func() time.Time
 
 	mu   sync.Mutex
@@ -33,10 +34,19 @@
 	now := rs.now()
 	rank := rs.view.RankOf(serverID, rs.selfID, now)
 	r := rs.lookup(server, limits, rank)
-	r.adjust(limits, rank, now)
+	r.adjust(limits, rs.quota(rank, limits.Connections), now)
 	return r, true
 }
 
+// quota returns the connections that this instance may open to a backend
+// server.
+func (rs *replicas) quota(rank, connections int) int {
+	if rs.direct > 0 {
+		return max(1, connections/rs.direct)
+	}
+	return connectionQuota(rank, connections)
+}
+
 func (rs *replicas) lookup(server membership.BackendServer, limits Limits, rank int) *replica {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
@@ -48,13 +58,13 @@
 		go r.pool.Close()
 	}
 	options := rs.options
-	options.Connections = connectionQuota(rank, limits.Connections)
+	options.Connections = rs.quota(rank, limits.Connections)
 	r = &replica{
 		server: server,
 		queue:  admission.NewQueue(limits.Slots, rs.now),
 		pool:   backend.NewPool(server, options),
 		limits: limits,
-		rank:   rank,
+		quota:  options.Connections,
 	}
 	rs.byID[server.ID] = r
 	return r
--- /dev/null
+++ b/pkg/owner/submissionslot.go
@@ -0,0 +1,76 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/admission"
+	"github.com/sycamorelift/sycamorelift/pkg/backend"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/submission"
+)
+
+// submissionSlot is the right to send one submission to one backend server.
+type submissionSlot struct {
+	owner   *Owner
+	replica *replica
+	grant   *admission.Grant
+	attempt submission.Attempt
+	service time.Duration
+	shed    bool
+}
+
+// Submit checks the view and the deadline right before sending, since both may
+// have changed while the submission was queued or the process was paused.
+func (s *submissionSlot) Submit(ctx context.Context, call submission.Call, guard submission.SendGuard) ([]byte, error) {
+	config := s.owner.config
+	config.Control.EnsureFresh(ctx)
+	checked := &checkedGuard{guard: guard, check: s.mayReceive}
+	started := config.Now()
+	reply, err := s.replica.pool.Submit(ctx, backend.SubmitCall{
+		Request:   call.RequestID,
+		Attempt:   call.Attempt,
+		Shard:     call.Shard,
+		Operation: call.Operation,
+		Key:       call.Key,
+		Payload:   call.Payload,
+	}, checked)
+	s.service = config.Now().Sub(started)
+	if err != nil {
+		return nil, s.failed(err)
+	}
+	s.owner.observe(s.replica, reply.Draining, reply.Incarnation)
+	return reply.Result, nil
+}
+
+// mayReceive reports whether the backend server may still receive the request.
+func (s *submissionSlot) mayReceive() bool {
+	now := s.owner.config.Now()
+	return now.Before(s.attempt.Deadline) && s.owner.config.View.MayReceive(s.replica.server.ID, now)
+}
+
+func (s *submissionSlot) failed(err error) error {
+	var call *backend.CallError
+	if errors.As(err, &call) {
+		s.shed = call.Status == peerpb.ResultStatus_SHED
+		s.owner.observe(s.replica, call.Draining, call.Incarnation)
+	}
+	return attemptError(err)
+}
+
+// Release returns the slot.
+func (s *submissionSlot) Release() {
+	s.grant.Release(s.service, !s.shed)
+}
+
+// checkedGuard refuses to send when a condition no longer holds.
+type checkedGuard struct {
+	guard submission.SendGuard
+	check func() bool
+}
+
+// Send is called immediately before the first byte is written.
+func (g *checkedGuard) Send() bool {
+	return g.check() && g.guard.Send()
+}
