--- a/pkg/lifecycle/drain.go
+++ b/pkg/lifecycle/drain.go
@@ -15,48 +15,48 @@
 // the load balancer's delay and until none is in flight and no ticket is live,
 // then the state is Closed. The error is a *DrainError when the drain timeout or
 // ctx ends first. Later calls wait for the first one and return its result.
-func (m *Manager) Drain(ctx context.Context) error {
-	current, first := m.beginDrain()
+func (l *Lifecycle) Drain(ctx context.Context) error {
+	current, first := l.beginDrain()
 	if !first {
 		<-current.done
 		return current.err
 	}
 	defer close(current.done)
-	m.config.OnDraining()
-	current.err = m.waitAndClose(ctx)
+	l.config.OnDraining()
+	current.err = l.waitAndClose(ctx)
 	return current.err
 }
 
-func (m *Manager) beginDrain() (current *drain, first bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.drain != nil {
-		return m.drain, false
+func (l *Lifecycle) beginDrain() (current *drain, first bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.drain != nil {
+		return l.drain, false
 	}
-	m.state = Draining
-	m.drain = &drain{done: make(chan struct{})}
-	return m.drain, true
+	l.state = Draining
+	l.drain = &drain{done: make(chan struct{})}
+	return l.drain, true
 }
 
-func (m *Manager) waitAndClose(ctx context.Context) error {
-	if !sleep(ctx, m.config.LoadBalancerDelay) {
-		return m.forceClose()
+func (l *Lifecycle) waitAndClose(ctx context.Context) error {
+	if !sleep(ctx, l.config.LoadBalancerDelay) {
+		return l.forceClose()
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.config.DrainTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.config.DrainTimeout)
 	defer cancel()
-	for !m.closeIfIdle() {
-		if !m.waitForChange(ctx) {
-			return m.forceClose()
+	for !l.closeIfIdle() {
+		if !l.waitForChange(ctx) {
+			return l.forceClose()
 		}
 	}
 	return nil
 }
 
-func (m *Manager) waitForChange(ctx context.Context) bool {
+func (l *Lifecycle) waitForChange(ctx context.Context) bool {
 	poll := time.NewTimer(pollInterval)
 	defer poll.Stop()
 	select {
-	case <-m.idle:
+	case <-l.idle:
 	case <-poll.C:
 	case <-ctx.Done():
 		return false
--- a/pkg/lifecycle/handler.go
+++ b/pkg/lifecycle/handler.go
@@ -5,8 +5,8 @@
 // Handler returns next for the listener of callers: it counts requests and,
 // while the instance drains, closes each connection after its reply, so that
 // kept-alive connections move to other instances.
-func (m *Manager) Handler(next http.Handler) http.Handler {
-	return m.counted(func(w http.ResponseWriter, r *http.Request, state State) {
+func (l *Lifecycle) Handler(next http.Handler) http.Handler {
+	return l.counted(func(w http.ResponseWriter, r *http.Request, state State) {
 		if state == Draining {
 			w.Header().Set("Connection", "close")
 		}
@@ -17,27 +17,27 @@
 // PeerHandler returns next for the listener of other instances: it counts
 // requests and leaves connections open, since instances learn of the drain from
 // the messages themselves and open few connections.
-func (m *Manager) PeerHandler(next http.Handler) http.Handler {
-	return m.counted(func(w http.ResponseWriter, r *http.Request, _ State) { next.ServeHTTP(w, r) })
+func (l *Lifecycle) PeerHandler(next http.Handler) http.Handler {
+	return l.counted(func(w http.ResponseWriter, r *http.Request, _ State) { next.ServeHTTP(w, r) })
 }
 
-func (m *Manager) counted(serve func(http.ResponseWriter, *http.Request, State)) http.Handler {
+func (l *Lifecycle) counted(serve func(http.ResponseWriter, *http.Request, State)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		state, ok := m.enter()
+		state, ok := l.enter()
 		if !ok {
-			m.refuse(w, r)
+			l.refuse(w, r)
 			return
 		}
 		// Deferred, so that a panic of the handler leaves the count right.
-		defer m.leave()
+		defer l.leave()
 		serve(w, r, state)
 	})
 }
 
-func (m *Manager) refuse(w http.ResponseWriter, r *http.Request) {
+func (l *Lifecycle) refuse(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
-	if m.config.Refuse != nil {
-		m.config.Refuse.ServeHTTP(w, r)
+	if l.config.Refuse != nil {
+		l.config.Refuse.ServeHTTP(w, r)
 		return
 	}
 	http.Error(w, "the instance has shut down; the request was not run", http.StatusServiceUnavailable)
--- a/pkg/lifecycle/readiness.go
+++ b/pkg/lifecycle/readiness.go
@@ -7,9 +7,9 @@
 
 // Readiness answers 200 in the state Ready and 503 otherwise, with the name of
 // the state. Requests to it do not count as in flight.
-func (m *Manager) Readiness() http.Handler {
+func (l *Lifecycle) Readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		state := m.State()
+		state := l.State()
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		if state != Ready {
 			w.WriteHeader(http.StatusServiceUnavailable)
