Add an in-process fleet and the demo command

The demo must show every invariant being checked under faults that start part way through a run. pkg/fleet starts the simulated platform, reserves addresses, publishes the bundle and the list and sends requests through a simulated load balancer; pkg/demo paces the queries, switches the fault on and reports. Both depend on a small Starter interface, so they don't wait for pkg/instance.

--- /dev/null
+++ b/pkg/demo/demo_test.go
@@ -0,0 +1,72 @@
+package demo
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"gotest.tools/v3/assert"
+)
+
+func runFake(t *testing.T, instance *fakeInstance, fault string) (*Report, error) {
+	t.Helper()
+	var out bytes.Buffer
+	command := Command{Queries: 30, Fault: fault, Deployment: "office", Output: "json", Seed: 3, Out: &out, Start: instance.start}
+	err := command.Execute(nil)
+	var report Report
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &report), "%v", err)
+	return &report, err
+}
+
+// Guards against a harness that reports violations of correct answers.
+func TestHonestInstancesPass(t *testing.T) {
+	for _, fault := range []string{"none", "replica-loss"} {
+		report, err := runFake(t, &fakeInstance{}, fault)
+		assert.NilError(t, err, "%v", report.Problems)
+		assert.Equal(t, report.Queries, 30)
+		assert.Equal(t, report.Complete+report.Partial+report.Failed, 30)
+		assert.Equal(t, report.Shards, 52)
+		assert.Equal(t, report.Instances, 7)
+		if fault == "replica-loss" {
+			assert.Assert(t, report.Partial > 0 && report.MinCoverage < 1)
+		}
+	}
+}
+
+// Guards against a harness that overlooks broken invariants.
+func TestLyingInstancesAreCaught(t *testing.T) {
+	cases := map[string]struct {
+		instance fakeInstance
+		fault    string
+		count    func(*Report) int
+	}{
+		"wrong hits":      {fakeInstance{wrongHits: true}, "none", func(r *Report) int { return r.WrongAnswers }},
+		"hidden loss":     {fakeInstance{hideLoss: true}, "replica-loss", func(r *Report) int { return r.FalseCoverage }},
+		"run twice":       {fakeInstance{runTwice: true}, "none", func(r *Report) int { return r.DuplicateExecutions }},
+		"refused but run": {fakeInstance{denyRun: true}, "none", func(r *Report) int { return r.RefusedButRun }},
+		"mixed snapshots": {fakeInstance{mixVersions: true}, "repartition", func(r *Report) int { return r.MixedSnapshots + r.FalseCoverage }},
+	}
+	for name, lie := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			report, err := runFake(t, &lie.instance, lie.fault)
+			assert.Assert(t, errors.Is(err, ErrViolated), "%v", err)
+			assert.Assert(t, lie.count(report) > 0)
+		})
+	}
+}
+
+// Guards against wrong flags that are run or reported as failures.
+func TestUsageErrors(t *testing.T) {
+	for _, command := range []Command{
+		{Queries: 0, Fault: "none", Deployment: "office", Output: "text"},
+		{Queries: 1, Fault: "flood", Deployment: "office", Output: "text"},
+		{Queries: 1, Fault: "none", Deployment: "home", Output: "text"},
+		{Queries: 1, Fault: "none", Deployment: "office", Output: "xml"},
+	} {
+		var usage *flags.Error
+		assert.Assert(t, errors.As(command.Execute(nil), &usage))
+	}
+}
--- /dev/null
+++ b/pkg/fleet/faults.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/standin"
+)
+
+// Sizes of the faults.
+const (
+	stragglerFactor = 20
+	overloadFactor  = 20 // on service times, so that few requests are an overload
+	crashRestart    = time.Second
+	silencePeriod   = 700 * time.Millisecond
+	repartitionLag  = 400 * time.Millisecond
+	partitionLength = 1500 * time.Millisecond
+	lostReplicas    = 3
+	wrongReplyEvery = 20
+	lateReplyDelay  = 300 * time.Millisecond
+	drainGrace      = time.Second
+)
+
+var faults = []Fault{
+	{Name: "none", Description: "no fault", Apply: noFault},
+	{Name: "straggler", Description: "one replica is 20 times slower", Apply: straggler},
+	{Name: "replica-loss", Description: "three replicas and one whole shard are lost", Apply: replicaLoss},
+	{Name: "silent-connections", Description: "open connections to backend servers stop answering", Apply: silentConnections},
+	{Name: "config-down", Description: "the configuration service is down", Apply: configDown},
+	{Name: "repartition", Description: "the index moves to snapshots with other partitions", Apply: repartition},
+	{Name: "crashing-request", Description: "a repeated request crashes every backend server that runs it", Poison: true, Apply: crashingRequest},
+	{Name: "overload", Description: "requests arrive at four times the capacity", Overload: true, Apply: overload},
+	{Name: "wrong-replies", Description: "backend servers send late, truncated, crossed and outdated replies", Apply: wrongReplies},
+	{Name: "drain", Description: "every third backend server drains and leaves", Apply: drain},
+	{Name: "instance-loss", Description: "one instance is killed", Apply: instanceLoss},
+	{Name: "partition", Description: "one zone's instances are cut off from the others for 1.5 s", Apply: partition},
+}
+
+func noFault(context.Context, *Fleet) error { return nil }
+
+func straggler(_ context.Context, f *Fleet) error {
+	server, err := f.Deployment.Server(f.MainService().Name, 0, 0)
+	if err != nil {
+		return err
+	}
+	server.SetStraggler(stragglerFactor)
+	return nil
+}
+
+func replicaLoss(_ context.Context, f *Fleet) error {
+	main := f.MainService()
+	for shard := 1; shard <= lostReplicas; shard++ {
+		server, err := f.Deployment.Server(main.Name, shard, 0)
+		if err != nil {
+			return err
+		}
+		server.Lose()
+	}
+	for replica := range main.Replicas {
+		server, err := f.Deployment.Server(main.Name, 0, replica)
+		if err != nil {
+			return err
+		}
+		server.Lose()
+	}
+	return nil
+}
+
+// silentConnections repeats, since the connections that replace silent ones
+// are open too.
+func silentConnections(ctx context.Context, f *Fleet) error {
+	go every(ctx, silencePeriod, func() {
+		for _, server := range f.Deployment.ServersOf(f.MainService().Name) {
+			server.Silence()
+		}
+	})
+	return nil
+}
+
+func configDown(_ context.Context, f *Fleet) error {
+	f.Deployment.Config.SetDown(standin.OutageReset)
+	return nil
+}
+
+func repartition(ctx context.Context, f *Fleet) error {
+	go every(ctx, repartitionLag, func() {
+		_ = f.Deployment.Repartition(f.MainService().Name, repartitionLag)
+	})
+	return nil
+}
+
+func crashingRequest(_ context.Context, f *Fleet) error {
+	for _, server := range f.Deployment.ServersOf(f.MainService().Name) {
+		server.SetCrash(true, crashRestart)
+	}
+	return nil
+}
+
+func overload(_ context.Context, f *Fleet) error {
+	for _, server := range f.Deployment.Servers {
+		server.SetStraggler(overloadFactor)
+	}
+	return nil
+}
+
+func wrongReplies(_ context.Context, f *Fleet) error {
+	kinds := []standin.ReplyFaultKind{
+		standin.ReplyLate, standin.ReplyTruncated, standin.ReplyCrossed, standin.ReplyOtherSnapshot,
+	}
+	for i, server := range f.Deployment.ServersOf(f.MainService().Name) {
+		kind := kinds[i%len(kinds)]
+		server.SetReplyFault(&standin.ReplyFault{Kind: kind, Every: wrongReplyEvery, Delay: lateReplyDelay})
+	}
+	return nil
+}
+
+func drain(_ context.Context, f *Fleet) error {
+	for i, server := range f.Deployment.ServersOf(f.MainService().Name) {
+		if i%3 == 0 {
+			server.Drain(drainGrace)
+		}
+	}
+	f.Deployment.PublishMembersAfter(listLag)
+	return nil
+}
+
+func instanceLoss(_ context.Context, f *Fleet) error {
+	f.Kill(0)
+	return nil
+}
+
+func partition(ctx context.Context, f *Fleet) error {
+	var side []string
+	for _, m := range f.members {
+		if m.spec.Zone == f.config.Spec.Zones[0] {
+			side = append(side, m.spec.ID)
+		}
+	}
+	f.Deployment.Network.Partition(side...)
+	heal := time.AfterFunc(partitionLength, f.Deployment.Network.Heal)
+	context.AfterFunc(ctx, func() {
+		heal.Stop()
+		f.Deployment.Network.Heal()
+	})
+	return nil
+}
+
+// every runs an action now and after each period until the context ends.
+func every(ctx context.Context, period time.Duration, action func()) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		action()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sycamorelift/sycamorelift/pkg/bundle"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/oracle"
+	"github.com/sycamorelift/sycamorelift/pkg/standin"
+)
+
+const (
+	readyTimeout  = 15 * time.Second
+	readyPoll     = 10 * time.Millisecond
+	listLag       = time.Second // of the platform's list behind the instances
+	idlePerTarget = 256
+)
+
+// Config describes a fleet.
+type Config struct {
+	Spec      standin.DeploymentSpec
+	Seed      uint64
+	Instances int // 0 takes the deployment's number
+	Options   Options
+	Start     Starter
+}
+
+// Fleet is a running deployment with its instances. It is safe for concurrent
+// use.
+type Fleet struct {
+	Deployment *standin.Deployment
+	Audit      *oracle.Audit
+
+	config Config
+	author *bundle.Author
+	http   *http.Client
+	lb     balancer
+
+	mu      sync.Mutex
+	members []*member // guarded by mu; fixed number after start
+	version int64     // guarded by mu; of the newest bundle
+}
+
+// Start starts the platform and the instances and waits until all are ready.
+func Start(ctx context.Context, config Config) (*Fleet, error) {
+	if config.Instances <= 0 {
+		config.Instances = config.Spec.Instances
+	}
+	author, err := bundle.NewAuthor(rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "bundle author")
+	}
+	deployment, err := standin.StartDeployment(config.Spec, config.Seed)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Deployment: deployment,
+		Audit:      oracle.NewDeploymentAudit(deployment),
+		config:     config,
+		author:     author,
+		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerTarget}},
+	}
+	f.lb.fleet = f
+	if err := f.startAll(ctx); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startAll(ctx context.Context) error {
+	if err := f.PublishBundle(); err != nil {
+		return err
+	}
+	for i := range f.config.Instances {
+		m, err := f.newMember(i)
+		if err != nil {
+			return err
+		}
+		f.members = append(f.members, m)
+	}
+	if err := f.publishInstances(); err != nil {
+		return err
+	}
+	for _, m := range f.members {
+		if err := m.start(ctx, f.config.Start); err != nil {
+			return err
+		}
+	}
+	return f.awaitReady(ctx)
+}
+
+// newMember reserves addresses, so that the platform's list can be published
+// before the instances start.
+func (f *Fleet) newMember(number int) (*member, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	zones := f.config.Spec.Zones
+	m := &member{spec: InstanceSpec{
+		ID:              fmt.Sprintf("%s-i%02d", f.config.Spec.Name, number),
+		Zone:            zones[number%len(zones)],
+		Region:          f.config.Spec.Region,
+		CallerAddress:   addresses[0],
+		PeerAddress:     addresses[1],
+		OperatorAddress: addresses[2],
+		ConfigURL:       "http://" + f.Deployment.Config.Address(),
+		Trust:           f.author.Trust(),
+		Options:         f.config.Options,
+	}}
+	m.link, err = f.Deployment.Network.Link(m.listed())
+	return m, err
+}
+
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, m := range f.members {
+		for !m.ready() {
+			select {
+			case <-ctx.Done():
+				return eris.Wrapf(ctx.Err(), "instance %s is not ready", m.spec.ID)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// PublishBundle publishes the next version of the bundle.
+func (f *Fleet) PublishBundle() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	text, err := BundleText(f.Deployment.Spec, f.version+1)
+	if err != nil {
+		return eris.Wrap(err, "bundle")
+	}
+	signed, err := f.author.Publish(text)
+	if err != nil {
+		return eris.Wrap(err, "sign bundle")
+	}
+	if _, err := f.Deployment.PublishBundle(signed); err != nil {
+		return err
+	}
+	f.version++
+	return nil
+}
+
+// BundleVersion returns the version of the newest bundle.
+func (f *Fleet) BundleVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// Size returns the number of instances.
+func (f *Fleet) Size() int { return f.config.Instances }
+
+// Spec returns the deployment's description.
+func (f *Fleet) Spec() standin.DeploymentSpec { return f.config.Spec }
+
+// Stop ends the instances and the platform.
+func (f *Fleet) Stop() {
+	f.Deployment.Network.Heal()
+	var group sync.WaitGroup
+	for _, m := range f.members {
+		group.Go(m.stop)
+	}
+	group.Wait()
+	f.http.CloseIdleConnections()
+	f.Deployment.Stop()
+}
+
+// Restart replaces one instance gracefully, as a rolling restart does: the
+// platform's list shows it as leaving only after a lag.
+func (f *Fleet) Restart(ctx context.Context, number int) error {
+	m := f.members[number]
+	m.setState(membership.StateLeaving)
+	timer := time.AfterFunc(listLag, func() { _ = f.publishInstances() })
+	defer timer.Stop()
+	if err := m.shutdown(ctx); err != nil {
+		return eris.Wrapf(err, "shut down instance %s", m.spec.ID)
+	}
+	m.setState(membership.StateLive)
+	if err := m.start(ctx, f.config.Start); err != nil {
+		return err
+	}
+	return f.publishInstances()
+}
+
+// Kill stops one instance at once; the platform's list keeps it.
+func (f *Fleet) Kill(number int) { f.members[number].kill() }
+
+func (f *Fleet) publishInstances() error {
+	instances := make([]membership.Instance, 0, len(f.members))
+	for _, m := range f.members {
+		listed := m.listed()
+		listed.Address = m.link.Address()
+		instances = append(instances, listed)
+	}
+	return f.Deployment.SetInstances(instances)
+}
+
+// freeAddresses returns loopback addresses that are free now.
+func freeAddresses(count int) ([]string, error) {
+	addresses := make([]string, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "reserve an address")
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// MainService returns the deployment's first service with several shards, on
+// which faults act, or else its first service.
+func (f *Fleet) MainService() standin.ServiceSpec {
+	for _, service := range f.config.Spec.Services {
+		if service.Shards > 1 && !service.Submission {
+			return service
+		}
+	}
+	return f.config.Spec.Services[0]
+}
--- /dev/null
+++ b/pkg/fleet/member.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/standin"
+)
+
+// member is one place in the fleet. Its instance changes at a restart.
+type member struct {
+	spec InstanceSpec
+	link *standin.PeerLink // set before start
+
+	mu       sync.Mutex
+	instance Instance         // guarded by mu; nil while stopped
+	state    membership.State // guarded by mu; in the platform's list
+}
+
+func (m *member) start(ctx context.Context, starter Starter) error {
+	instance, err := starter(ctx, m.spec)
+	if err != nil {
+		return eris.Wrapf(err, "start instance %s", m.spec.ID)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instance = instance
+	return nil
+}
+
+// listed returns the entry of the platform's list with the own peer address.
+func (m *member) listed() membership.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state := m.state
+	if state == "" {
+		state = membership.StateLive
+	}
+	return membership.Instance{ID: m.spec.ID, Region: m.spec.Region, Zone: m.spec.Zone, Address: m.spec.PeerAddress, State: state}
+}
+
+func (m *member) setState(state membership.State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = state
+}
+
+func (m *member) current() Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.instance
+}
+
+func (m *member) ready() bool {
+	instance := m.current()
+	return instance != nil && instance.Ready()
+}
+
+func (m *member) take() Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	instance := m.instance
+	m.instance = nil
+	return instance
+}
+
+// shutdown keeps the instance visible to the load balancer while it drains,
+// since that sees the failing readiness only later.
+func (m *member) shutdown(ctx context.Context) error {
+	instance := m.current()
+	if instance == nil {
+		return nil
+	}
+	err := instance.Shutdown(ctx)
+	m.take()
+	return err
+}
+
+func (m *member) kill() {
+	if instance := m.take(); instance != nil {
+		instance.Kill()
+	}
+}
+
+func (m *member) stop() {
+	m.kill()
+	if m.link != nil {
+		m.link.Stop()
+	}
+}
--- a/pkg/oracle/audit.go
+++ b/pkg/oracle/audit.go
@@ -86,8 +86,8 @@
 
 // Submission records one reply to a submission. A submission that got no reply
 // at all is recorded as Unknown. The result is checked when the reply says
-// that the submission ran.
-func (a *Audit) Submission(service, key, payload, requestID string, run RunState, result string) {
+// that the submission ran; what is wrong with it is returned.
+func (a *Audit) Submission(service, key, payload, requestID string, run RunState, result string) []Problem {
 	a.mu.Lock()
 	past := a.submissions[submission{service, payload}]
 	if past == nil {
@@ -103,9 +103,12 @@
 		past.unknown++
 	}
 	a.mu.Unlock()
-	if run == Run && result != standin.SubmissionResult(key, payload) {
-		a.add(Problem{WrongAnswer, requestID, fmt.Sprintf("result %q is of another submission", result)})
+	if run != Run || result == standin.SubmissionResult(key, payload) {
+		return nil
 	}
+	problem := Problem{WrongAnswer, requestID, fmt.Sprintf("result %q is of another submission", result)}
+	a.add(problem)
+	return []Problem{problem}
 }
 
 // Finish compares what callers were told with what was executed. It is called
