Add the experiment command

Policies must be compared under the same arrivals on a noisy machine. Latency counts from the scheduled arrival, so a late sender doesn't hide waiting.

--- /dev/null
+++ b/pkg/experiment/tally.go
@@ -0,0 +1,82 @@
+package experiment
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sycamorelift/sycamorelift/pkg/fleet"
+)
+
+const (
+	shortestLatency = time.Microsecond
+	longestLatency  = 60 * time.Second
+	latencyDigits   = 3
+)
+
+// tally collects the measurements of one arm. It is safe for concurrent use.
+type tally struct {
+	mu          sync.Mutex
+	measured    time.Duration // guarded by mu, like all below
+	offered     map[string]int
+	good        map[string]int
+	refused     map[string]int
+	failed      map[string]int
+	latency     *hdrhistogram.Histogram // of answers, in microseconds
+	coverageSum float64
+	coverageMin float64
+	answers     int // of searches
+	attempts    int
+	shards      int
+}
+
+func newTally() *tally {
+	return &tally{
+		offered:     map[string]int{},
+		good:        map[string]int{},
+		refused:     map[string]int{},
+		failed:      map[string]int{},
+		latency:     hdrhistogram.New(shortestLatency.Microseconds(), longestLatency.Microseconds(), latencyDigits),
+		coverageMin: 1,
+	}
+}
+
+func (t *tally) offer(list []arrival, length time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.measured += length
+	for _, next := range list {
+		t.offered[next.request.Class.Name]++
+	}
+}
+
+// add counts a reply. It is good when it is an answer within the deadline of
+// the request's class.
+func (t *tally) add(request fleet.Request, reply fleet.Reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch reply.Outcome {
+	case fleet.Refused:
+		t.refused[reply.Reason]++
+		return
+	case fleet.Failed:
+		t.failed[reply.Reason]++
+		return
+	}
+	_ = t.latency.RecordValue(min(reply.Latency, longestLatency).Microseconds())
+	if reply.Latency <= request.Class.Deadline {
+		t.good[request.Class.Name]++
+	}
+	if reply.Answer != nil {
+		t.addAnswer(reply)
+	}
+}
+
+func (t *tally) addAnswer(reply fleet.Reply) {
+	t.answers++
+	t.coverageSum += reply.Answer.Coverage.Fraction
+	t.coverageMin = min(t.coverageMin, reply.Answer.Coverage.Fraction)
+	t.attempts += reply.Answer.Attempts
+	t.shards += reply.Answer.Shards
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -44,9 +44,13 @@
 	http   *http.Client
 	lb     balancer
 
+	members []*member // not modified after start
+
 	mu      sync.Mutex
-	members []*member // guarded by mu; fixed number after start
-	version int64     // guarded by mu; of the newest bundle
+	version int64 // guarded by mu; of the newest bundle
+
+	restarts sync.Mutex // held during a restart, so that Stop waits for it
+	stopped  bool       // guarded by restarts
 }
 
 // Start starts the platform and the instances and waits until all are ready.
@@ -172,6 +176,9 @@
 // Stop ends the instances and the platform.
 func (f *Fleet) Stop() {
 	f.Deployment.Network.Heal()
+	f.restarts.Lock()
+	defer f.restarts.Unlock()
+	f.stopped = true
 	var group sync.WaitGroup
 	for _, m := range f.members {
 		group.Go(m.stop)
@@ -184,10 +191,15 @@
 // Restart replaces one instance gracefully, as a rolling restart does: the
 // platform's list shows it as leaving only after a lag.
 func (f *Fleet) Restart(ctx context.Context, number int) error {
+	f.restarts.Lock()
+	defer f.restarts.Unlock()
+	if f.stopped {
+		return eris.New("the fleet is stopped")
+	}
 	m := f.members[number]
 	m.setState(membership.StateLeaving)
-	timer := time.AfterFunc(listLag, func() { _ = f.publishInstances() })
-	defer timer.Stop()
+	lagging := time.AfterFunc(listLag, func() { _ = f.publishInstances() })
+	defer lagging.Stop()
 	if err := m.shutdown(ctx); err != nil {
 		return eris.Wrapf(err, "shut down instance %s", m.spec.ID)
 	}
--- a/pkg/standin/deployment.go
+++ b/pkg/standin/deployment.go
@@ -43,7 +43,7 @@
 // StartDeployment starts everything and publishes the index documents.
 // Services may be limited to the names given; none means all.
 func StartDeployment(spec DeploymentSpec, seed uint64, services ...string) (*Deployment, error) {
-	spec, err := spec.only(services)
+	spec, err := spec.Only(services...)
 	if err != nil {
 		return nil, err
 	}
@@ -157,7 +157,8 @@
 	d.Config.Stop()
 }
 
-func (d DeploymentSpec) only(names []string) (DeploymentSpec, error) {
+// Only returns the deployment limited to the named services; no name keeps all.
+func (d DeploymentSpec) Only(names ...string) (DeploymentSpec, error) {
 	if len(names) == 0 {
 		return d, nil
 	}
