--- a/pkg/experiment/experiment_test.go
+++ b/pkg/experiment/experiment_test.go
@@ -31,14 +31,16 @@
 	assert.Assert(t, other[0].at != first[0].at)
 }
 
-// Guards against late, refused and failed requests that count as goodput.
+// Guards against late, thin, refused and failed requests that count as goodput.
 func TestGoodputCountsAnswersInTime(t *testing.T) {
-	class := fleet.Class{Name: "clerk", Deadline: time.Second}
+	class := fleet.Class{Name: "clerk", Deadline: time.Second, MinCoverage: 0.4}
 	request := fleet.Request{Class: class}
 	half := &oracle.Answer{Attempts: 30, Shards: 20, Coverage: oracle.Coverage{Fraction: 0.5}}
+	thin := &oracle.Answer{Attempts: 30, Shards: 20, Coverage: oracle.Coverage{Fraction: 0.3}}
 	tally := newTally()
 	tally.offer([]arrival{{request: request}, {request: request}, {request: request}, {request: request}}, 2*time.Second)
 	tally.add(request, fleet.Reply{Outcome: fleet.Partial, Answer: half, Latency: 100 * time.Millisecond})
+	tally.add(request, fleet.Reply{Outcome: fleet.Partial, Answer: thin, Latency: 100 * time.Millisecond})
 	tally.add(request, fleet.Reply{Outcome: fleet.Complete, Latency: 1100 * time.Millisecond})
 	tally.add(request, fleet.Reply{Outcome: fleet.Refused, Reason: "shortage:queue"})
 	tally.add(request, fleet.Reply{Outcome: fleet.Failed, Reason: "no reply"})
@@ -46,7 +48,7 @@
 	assert.Equal(t, m.Offered, 2.0)
 	assert.Equal(t, m.Goodput, 0.5)
 	assert.Equal(t, m.GoodputByClass["clerk"], 0.5)
-	assert.Equal(t, m.CoverageMin, 0.5)
+	assert.Equal(t, m.CoverageMin, 0.3)
 	assert.Equal(t, m.AttemptsPerShardQuery, 1.5)
 	assert.Equal(t, m.RefusedByReason["shortage:queue"], 1)
 	assert.Equal(t, m.FailedByReason["no reply"], 1)
--- a/pkg/experiment/measurement.go
+++ b/pkg/experiment/measurement.go
@@ -8,7 +8,7 @@
 	Name                  string             `json:"name"`
 	Offered               float64            `json:"offered"`
 	OfferedByClass        map[string]float64 `json:"offered_by_class"`
-	Goodput               float64            `json:"goodput"` // answers within their class's deadline
+	Goodput               float64            `json:"goodput"` // answers that keep their class's deadline and coverage
 	GoodputByClass        map[string]float64 `json:"goodput_by_class"`
 	P50Ms                 float64            `json:"p50_ms"` // of all answers
 	P99Ms                 float64            `json:"p99_ms"`
--- a/pkg/experiment/tally.go
+++ b/pkg/experiment/tally.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// add counts a reply. It is good when it is an answer within the deadline of
-// the request's class.
+// add counts a reply. It is good when it is an answer that keeps the deadline
+// and the least coverage of the request's class.
 func (t *tally) add(request fleet.Request, reply fleet.Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,7 +65,7 @@
 		return
 	}
 	_ = t.latency.RecordValue(min(reply.Latency, longestLatency).Microseconds())
-	if reply.Latency <= request.Class.Deadline {
+	if isGood(request.Class, reply) {
 		t.good[request.Class.Name]++
 	}
 	if reply.Answer != nil {
@@ -73,6 +73,13 @@
 	}
 }
 
+func isGood(class fleet.Class, reply fleet.Reply) bool {
+	if reply.Answer != nil && reply.Answer.Coverage.Fraction < class.MinCoverage {
+		return false
+	}
+	return reply.Latency <= class.Deadline
+}
+
 func (t *tally) addAnswer(reply fleet.Reply) {
 	t.answers++
 	t.coverageSum += reply.Answer.Coverage.Fraction
