--- a/pkg/instance/listener.go
+++ b/pkg/instance/listener.go
@@ -77,5 +77,14 @@
 	return err
 }
 
+// abort closes the socket and all connections.
+func (l *listener) abort() {
+	l.mu.Lock()
+	l.stopping = true
+	l.mu.Unlock()
+	_ = l.server.Close()
+	_ = l.socket.Close()
+}
+
 // String names the service in the supervisor's logs.
 func (l *listener) String() string { return l.name + " listener" }
