Add the control plane: store, readers, exchange and freshness gate

Every instance has to take over a bundle within 3 s and never revert it, with a configuration service that may be down, stale or split and processes that resume late. Two readers per zone watch the service with a wait of 1 s, so that a watch on an unresponsive connection costs less than the 3 s; all others poll rarely (100 calls/s of the whole fleet), which finds a change when the readers see a stale service. A confirmation counts from the time of the question: a process that was paused may read an answer or a request as old as the pause, so received requests confirm nothing.

--- /dev/null
+++ b/pkg/controlplane/config.go
@@ -0,0 +1,43 @@
+package controlplane
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/configclient"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// Service is the configuration service.
+type Service interface {
+	Get(ctx context.Context, key string) (configclient.Document, error)
+	Watch(ctx context.Context, after int64, wait time.Duration) (configclient.Change, error)
+}
+
+// Peers calls other instances.
+type Peers interface {
+	Exchange(ctx context.Context, to membership.Instance, m *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
+	FetchDocument(ctx context.Context, to membership.Instance, m *peerpb.FetchDocumentRequest) (*peerpb.FetchDocumentReply, error)
+}
+
+// Config is the input of New. All fields but Seeds, Logger and
+// ExchangeInterval are required.
+type Config struct {
+	Self        membership.Instance
+	Incarnation string
+	Store       *Store
+	View        *membership.View
+	Service     Service
+	Peers       Peers
+	// Seeds are instances that a starting instance asks when the service is
+	// down, so that no list of members is known.
+	Seeds  []membership.Instance
+	Now    func() time.Time
+	Rand   *rand.Rand // owned by the plane from then on
+	Logger *slog.Logger
+	// ExchangeInterval is the interval of the periodic exchange, 1 s when 0.
+	ExchangeInterval time.Duration
+}
--- /dev/null
+++ b/pkg/controlplane/exchange.go
@@ -0,0 +1,146 @@
+package controlplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// idlePause is the pause of a task that waits to be woken.
+const idlePause = 1 * time.Second
+
+// exchangeStep exchanges versions with one partner; if it does not answer, with
+// another one.
+func (p *Plane) exchangeStep(ctx context.Context) time.Duration {
+	began := p.now()
+	for _, partner := range p.partners(confirmAttempts) {
+		if p.exchangeWith(ctx, partner) {
+			break
+		}
+	}
+	if !p.fresh.isFresh(p.now()) {
+		p.tasks[taskRead].wake()
+	}
+	return max(p.interval-p.now().Sub(began), p.interval/4)
+}
+
+// pushStep sends versions and notices to several partners at once after a
+// change.
+func (p *Plane) pushStep(ctx context.Context) time.Duration {
+	if !p.pushDue.Swap(false) {
+		return idlePause
+	}
+	p.exchangeAll(ctx, p.partners(pushFanOut))
+	return idlePause
+}
+
+// exchangeAll exchanges with all partners at once and returns how many of them
+// confirmed this instance's documents.
+func (p *Plane) exchangeAll(ctx context.Context, partners []membership.Instance) int {
+	var running sync.WaitGroup
+	confirmed := make([]bool, len(partners))
+	running.Add(len(partners))
+	for i, partner := range partners {
+		p.spawn(func() {
+			defer running.Done()
+			confirmed[i] = p.exchangeWith(ctx, partner)
+		})
+	}
+	running.Wait()
+	count := 0
+	for _, ok := range confirmed {
+		if ok {
+			count++
+		}
+	}
+	return count
+}
+
+// exchangeWith exchanges versions with a partner and fetches what it holds
+// higher. It reports whether this instance then held everything that the
+// partner had when it was asked.
+func (p *Plane) exchangeWith(ctx context.Context, partner membership.Instance) bool {
+	asked := p.now()
+	reply, err := p.callExchange(ctx, partner)
+	p.view.ReportCall(partner.ID, err == nil, p.now())
+	if err != nil {
+		return false
+	}
+	p.ObserveSender(reply.GetSender())
+	for _, notice := range reply.GetNotices() {
+		p.AddNotice(notice)
+	}
+	versions := withSender(reply.GetVersions(), reply.GetSender())
+	for _, v := range versions {
+		p.announce(v, partner.ID)
+	}
+	if !p.obtain(ctx, versions) {
+		return false
+	}
+	p.fresh.confirm(asked)
+	return true
+}
+
+func (p *Plane) callExchange(ctx context.Context, partner membership.Instance) (*peerpb.ExchangeReply, error) {
+	ctx, cancel := p.withTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return p.peers.Exchange(ctx, partner, &peerpb.ExchangeRequest{
+		Sender:   p.Sender(),
+		Versions: messages(p.store.Versions()),
+		Notices:  p.outgoingNotices(),
+	})
+}
+
+// push makes the push task send what has changed.
+func (p *Plane) push() {
+	p.pushDue.Store(true)
+	p.tasks[taskPush].wake()
+}
+
+// Exchange answers another instance's exchange with the versions that it lacks.
+// What it holds higher is fetched after the answer. A request confirms nothing:
+// a process that was paused may read one that is as old as the pause.
+func (p *Plane) Exchange(_ context.Context, request *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	p.ObserveSender(request.GetSender())
+	for _, notice := range request.GetNotices() {
+		p.AddNotice(notice)
+	}
+	theirs := make(map[string]Version, len(request.GetVersions()))
+	for _, m := range request.GetVersions() {
+		v := versionOf(m)
+		theirs[v.Key] = v
+		p.announce(v, request.GetSender().GetInstanceId())
+	}
+	var lacking []Version
+	for _, v := range p.store.Versions() {
+		if other, ok := theirs[v.Key]; !ok || v.Compare(other) > 0 {
+			lacking = append(lacking, v)
+		}
+	}
+	return &peerpb.ExchangeReply{
+		Sender:   p.Sender(),
+		Versions: messages(lacking),
+		Notices:  p.outgoingNotices(),
+	}, nil
+}
+
+// withSender adds the bundle that the sender states to the listed versions; the
+// sender may have taken it over while it built the list.
+func withSender(listed []*peerpb.DocumentVersion, s *peerpb.Sender) []Version {
+	versions := make([]Version, 0, len(listed)+1)
+	for _, m := range listed {
+		versions = append(versions, versionOf(m))
+	}
+	return append(versions, bundleOf(s))
+}
+
+func messages(versions []Version) []*peerpb.DocumentVersion {
+	out := make([]*peerpb.DocumentVersion, 0, len(versions))
+	for _, v := range versions {
+		out = append(out, v.message())
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/controlplane/serve.go
@@ -0,0 +1,21 @@
+package controlplane
+
+import (
+	"context"
+	"sync"
+)
+
+// Serve runs the plane until ctx ends. It implements suture.Service.
+func (p *Plane) Serve(ctx context.Context) error {
+	var running sync.WaitGroup
+	for _, t := range p.tasks {
+		running.Go(func() { t.run(ctx) })
+	}
+	running.Wait()
+	return ctx.Err()
+}
+
+// String names the service in the supervisor's log.
+func (p *Plane) String() string {
+	return "control plane"
+}
--- /dev/null
+++ b/pkg/controlplane/store.go
@@ -0,0 +1,211 @@
+package controlplane
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
+)
+
+// Verifier checks a bundle's signatures and returns its signed version, its
+// digest and the parsed bundle.
+type Verifier func(data []byte) (version int64, digest string, parsed any, err error)
+
+// rejectionHold is the time for which a rejected version is not fetched again.
+// It ends so that a good document is still accepted after a copy of it that was
+// damaged on the way had been rejected.
+const rejectionHold = 30 * time.Second
+
+// Store holds the highest accepted document of each key. A document is never
+// replaced by a lower one. It is safe for concurrent use; reads take no lock.
+type Store struct {
+	verify Verifier
+	now    func() time.Time
+	log    *slog.Logger
+
+	held atomic.Pointer[map[string]*held] // replaced as a whole, with mu held
+
+	mu        sync.Mutex
+	rejected  map[Version]time.Time         // until when, guarded by mu
+	listeners []func(Document, any)         // guarded by mu
+	changed   atomic.Pointer[chan struct{}] // closed and replaced on acceptance
+}
+
+// held is an accepted document with its decoded form.
+type held struct {
+	document Document
+	parsed   any
+}
+
+// NewStore returns an empty store.
+func NewStore(verify Verifier, now func() time.Time, log *slog.Logger) *Store {
+	s := &Store{verify: verify, now: now, log: orDiscard(log), rejected: make(map[Version]time.Time)}
+	s.held.Store(&map[string]*held{})
+	changed := make(chan struct{})
+	s.changed.Store(&changed)
+	return s
+}
+
+// OnAccept registers a function that is called with every accepted document and
+// its decoded form, in the order of acceptance. It is called with the store's
+// lock held and must not call Accept. Register before the first Accept.
+func (s *Store) OnAccept(listener func(Document, any)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, listener)
+}
+
+// Accept takes over a document when it is higher than the one held. For a
+// bundle, the order comes from the bundle itself; an empty Digest is computed.
+// It reports whether the document was taken over. Errors are *RejectedError and
+// *MismatchError.
+func (s *Store) Accept(document Document) (accepted bool, err error) {
+	announced := document.Version()
+	if announced.Digest != "" && !s.Wants(announced) {
+		return false, nil
+	}
+	order, parsed, err := s.decode(document)
+	if err != nil {
+		return false, s.reject(announced, err)
+	}
+	if announced.Digest != "" && order != announced {
+		return false, &MismatchError{Announced: announced, Got: order}
+	}
+	document.Revision, document.Digest = order.Revision, order.Digest
+	return s.install(document, parsed), nil
+}
+
+// decode returns the document's place in the order and its decoded form.
+func (s *Store) decode(document Document) (order Version, parsed any, err error) {
+	order = Version{Key: document.Key, Revision: document.Revision}
+	switch {
+	case document.Key == KeyBundle:
+		order.Revision, order.Digest, parsed, err = s.verify(document.Data)
+		return order, parsed, err
+	case document.Key == KeyMembers:
+		parsed, err = decodeMembers(document.Data)
+	default:
+		parsed, err = decodeManifest(document.Key, document.Data)
+	}
+	order.Digest = contentDigest(document.Data)
+	return order, parsed, err
+}
+
+// install replaces the held document unless it is as high.
+func (s *Store) install(document Document, parsed any) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := *s.held.Load()
+	if h, ok := current[document.Key]; ok && document.Version().Compare(h.document.Version()) <= 0 {
+		return false
+	}
+	next := maps.Clone(current)
+	next[document.Key] = &held{document: document, parsed: parsed}
+	s.held.Store(&next)
+	for _, listener := range s.listeners {
+		listener(document, parsed)
+	}
+	s.log.Info("control document accepted", "key", document.Key,
+		"revision", document.Revision, "digest", document.Digest, "bytes", len(document.Data))
+	s.broadcast()
+	return true
+}
+
+// broadcast wakes the waiters of Changed. Caller holds s.mu.
+func (s *Store) broadcast() {
+	next := make(chan struct{})
+	close(*s.changed.Swap(&next))
+}
+
+// reject remembers the announced version, so that it is not fetched again and
+// again, and logs the place of the error.
+func (s *Store) reject(announced Version, cause error) error {
+	err := &RejectedError{Key: announced.Key, Revision: announced.Revision, Err: cause}
+	s.log.Error("control document rejected", "key", announced.Key,
+		"revision", announced.Revision, "cause", cause)
+	if announced.Digest == "" {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	maps.DeleteFunc(s.rejected, func(_ Version, until time.Time) bool { return !now.Before(until) })
+	s.rejected[announced] = now.Add(rejectionHold)
+	return err
+}
+
+// Wants reports whether a document of this version would be taken over: it is
+// higher than the one held and was not rejected lately.
+func (s *Store) Wants(v Version) bool {
+	if !isControlKey(v.Key) {
+		return false
+	}
+	if h, ok := (*s.held.Load())[v.Key]; ok && v.Compare(h.document.Version()) <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, rejected := s.rejected[v]
+	return !rejected || !s.now().Before(until)
+}
+
+// Get returns the held document of key.
+func (s *Store) Get(key string) (Document, bool) {
+	h, ok := (*s.held.Load())[key]
+	if !ok {
+		return Document{}, false
+	}
+	return h.document, true
+}
+
+// Bundle returns the decoded form of the held bundle, as the verifier returned
+// it, or nil.
+func (s *Store) Bundle() any {
+	h, ok := (*s.held.Load())[KeyBundle]
+	if !ok {
+		return nil
+	}
+	return h.parsed
+}
+
+// Members returns the held list of members.
+func (s *Store) Members() (membership.Members, bool) {
+	h, ok := (*s.held.Load())[KeyMembers]
+	if !ok {
+		return membership.Members{}, false
+	}
+	return h.parsed.(membership.Members), true
+}
+
+// Manifest returns the held index manifest of a service. It must not be
+// modified.
+func (s *Store) Manifest(team, service string) (*snapshot.Manifest, bool) {
+	h, ok := (*s.held.Load())[IndexKey(team, service)]
+	if !ok {
+		return nil, false
+	}
+	return h.parsed.(*snapshot.Manifest), true
+}
+
+// Versions returns the versions of all held documents by key.
+func (s *Store) Versions() []Version {
+	current := *s.held.Load()
+	versions := make([]Version, 0, len(current))
+	for _, h := range current {
+		versions = append(versions, h.document.Version())
+	}
+	slices.SortFunc(versions, func(a, b Version) int { return strings.Compare(a.Key, b.Key) })
+	return versions
+}
+
+// Changed returns a channel that is closed at the next acceptance. Obtain it
+// before reading the state that is waited for.
+func (s *Store) Changed() <-chan struct{} {
+	return *s.changed.Load()
+}
