--- a/pkg/bundle/trust.go
+++ b/pkg/bundle/trust.go
@@ -57,6 +57,10 @@
 	for _, item := range v.SomeItems() {
 		t.Signers = append(t.Signers, parseSigner(item, persons, keys))
 	}
+	mayRelease := func(s Signer) bool { return s.MayRelease }
+	if len(t.Signers) > 0 && !slices.ContainsFunc(t.Signers, mayRelease) {
+		v.Fail("nobody may release bundles")
+	}
 	return t
 }
 
@@ -93,5 +97,8 @@
 	})
 	o.Optional("may_release").Bool(&s.MayRelease)
 	o.Close()
+	if len(s.Sections) == 0 && !s.MayRelease {
+		v.Fail("the person may neither sign a section nor release")
+	}
 	return s
 }
--- a/pkg/demo/command.go
+++ b/pkg/demo/command.go
@@ -91,5 +91,8 @@
 }
 
 func (c *Command) starter() fleet.Starter {
+	if c.Start == nil {
+		return fleet.StartInstance
+	}
 	return c.Start
 }
--- a/pkg/experiment/command.go
+++ b/pkg/experiment/command.go
@@ -61,7 +61,7 @@
 }
 
 func (c *Command) config() (Config, error) {
-	config := Config{Duration: c.Duration, Seed: c.Seed, Start: c.Start}
+	config := Config{Duration: c.Duration, Seed: c.Seed, Start: c.starter()}
 	var err error
 	if config.Scenario, err = ScenarioByName(c.Scenario); err != nil {
 		return config, err
@@ -98,3 +98,10 @@
 func usage(format string, args ...any) error {
 	return &flags.Error{Type: flags.ErrInvalidChoice, Message: fmt.Sprintf(format, args...)}
 }
+
+func (c *Command) starter() fleet.Starter {
+	if c.Start == nil {
+		return fleet.StartInstance
+	}
+	return c.Start
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -121,6 +121,7 @@
 		ConfigURL:       "http://" + f.Deployment.Config.Address(),
 		Trust:           f.author.Trust(),
 		Options:         f.config.Options,
+		Instances:       f.config.Instances,
 	}}
 	m.link, err = f.Deployment.Network.Link(m.listed())
 	return m, err
--- a/pkg/fleet/instance.go
+++ b/pkg/fleet/instance.go
@@ -27,6 +27,7 @@
 	ConfigURL       string // of the configuration service
 	Trust           bundle.Trust
 	Options         Options
+	Instances       int // of the fleet
 }
 
 // Starter starts an instance. It need not wait until the instance is ready.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -79,7 +79,7 @@
 
 func (i *Instance) buildTelemetry(ctx context.Context) error {
 	logger, err := telemetry.NewLogger(orStderr(i.options.LogOutput), telemetry.LogOptions{
-		Format: telemetry.LogFormat(i.settings.Log.Format), Level: string(i.settings.Log.Level), InstanceID: i.self.ID,
+		Format: telemetry.LogFormat(i.settings.Log.Format), Level: i.settings.Log.Level.String(), InstanceID: i.self.ID,
 	})
 	if err != nil {
 		return eris.Wrap(err, "open log")
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -145,3 +145,6 @@
 
 // Counter returns a counter of the instance's metrics.
 func (i *Instance) Counter(name string) int64 { return i.registry.Counter(name).Value() }
+
+// Ready reports whether the instance accepts callers.
+func (i *Instance) Ready() bool { return i.lifecycle.Ready() }
