--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -24,6 +24,8 @@
 	EnsureFresh(ctx context.Context) (stale bool)
 	Bundle() (*bundle.Verified, bool)
 	Manifest(team, service string) (*snapshot.Manifest, bool)
+	// RefreshManifest reads the manifest from the configuration service.
+	RefreshManifest(ctx context.Context, team, service string)
 	Sender() *peerpb.Sender
 	ObserveSender(sender *peerpb.Sender)
 }
--- a/pkg/entry/finish.go
+++ b/pkg/entry/finish.go
@@ -13,7 +13,7 @@
 
 // answer returns the answer, or a refusal below the minimum coverage.
 func (q *query) answer() (*Answer, error) {
-	report := q.account.Report("no reply within the deadline")
+	report := q.account.Report(q.pendingReason())
 	if report.Fraction < q.policy.MinCoverage {
 		return nil, q.refuseCoverage(report)
 	}
@@ -32,6 +32,14 @@
 	}, nil
 }
 
+// pendingReason tells why shards without a result are missing.
+func (q *query) pendingReason() string {
+	if q.hopeless() {
+		return "given up: the minimum coverage is out of reach"
+	}
+	return "no reply within the deadline"
+}
+
 // hits merges the hits of all shards, best first.
 func (q *query) hits() []Hit {
 	var all []*peerpb.Hit
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/bundle"
@@ -113,13 +114,18 @@
 			return nil, err
 		}
 		q := newQuery(e, request, policy, pinned, fingerprint, arrived, run)
-		q.mayRestart = restarts < maxRestarts && e.hasOther(policy, pinned.Version, excluded)
+		q.mayRestart = restarts < maxRestarts
 		answer, err := q.run(ctx)
 		if !errors.Is(err, errSnapshotGone) {
 			return answer, err
 		}
-		excluded[pinned.Version] = true
 		e.config.Metrics.Count("searches.restarted", 1)
+		excluded[pinned.Version] = true
+		if !e.hasOther(ctx, policy, excluded) {
+			// Nothing else is offered: the rest of the old snapshot is the answer.
+			clear(excluded)
+			restarts = maxRestarts
+		}
 	}
 }
 
@@ -145,18 +151,23 @@
 	return pinned, nil
 }
 
-// hasOther reports whether the manifest lists a snapshot to restart on.
-func (e *Entry) hasOther(policy bundle.Policy, pinned int64, excluded map[int64]bool) bool {
+// hasOther reports whether the manifest lists a snapshot to restart on. When it
+// does not, the manifest may be out of date: backend servers change snapshots
+// before every instance has learned of it.
+func (e *Entry) hasOther(ctx context.Context, policy bundle.Policy, excluded map[int64]bool) bool {
+	if e.offers(policy, excluded) {
+		return true
+	}
+	e.config.Control.RefreshManifest(ctx, policy.Team, policy.Service)
+	return e.offers(policy, excluded)
+}
+
+func (e *Entry) offers(policy bundle.Policy, excluded map[int64]bool) bool {
 	manifest, ok := e.config.Control.Manifest(policy.Team, policy.Service)
 	if !ok {
 		return false
 	}
-	for _, s := range manifest.Snapshots {
-		if s.Version != pinned && !excluded[s.Version] {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(manifest.Snapshots, func(s snapshot.Snapshot) bool { return !excluded[s.Version] })
 }
 
 // refuseCrashing names the signed rule for crashing requests if the class has
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -188,7 +188,8 @@
 }
 
 // replicas returns the replicas of a shard that may serve the pinned snapshot,
-// best first.
+// best first. When none is known to, all are asked: what they stated last may
+// be out of date.
 func (q *query) replicas(shard int, now time.Time) []membership.BackendServer {
 	config := q.entry.config
 	all := config.View.Replicas(q.policy.Team, q.policy.Service, shard, now)
@@ -198,6 +199,9 @@
 			able = append(able, server)
 		}
 	}
+	if len(able) == 0 {
+		able = all
+	}
 	if config.Options.RandomReplica {
 		return config.Selector.Shuffle(config.Selector.Order(now, able, config.Self.Zone))
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -224,20 +223,6 @@
 	return f.Deployment.SetInstances(instances)
 }
 
-// freeAddresses returns loopback addresses that are free now.
-func freeAddresses(count int) ([]string, error) {
-	addresses := make([]string, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "reserve an address")
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // MainService returns the deployment's first service with several shards, on
 // which faults act, or else its first service.
 func (f *Fleet) MainService() standin.ServiceSpec {
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -148,3 +148,6 @@
 
 // Ready reports whether the instance accepts callers.
 func (i *Instance) Ready() bool { return i.lifecycle.Ready() }
+
+// BundleVersion returns the version of the bundle in force, 0 before the first.
+func (i *Instance) BundleVersion() int64 { return i.plane.Sender().BundleVersion }
--- /dev/null
+++ b/pkg/snapshot/chooser_test.go
@@ -0,0 +1,61 @@
+package snapshot
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// twoShards returns a snapshot with 10 documents on shard 0 and 20 on shard 1.
+func twoShards(version int64) Snapshot {
+	return Snapshot{Version: version, Partitions: []Partition{
+		{Shard: 0, To: "m", Documents: 10},
+		{Shard: 1, From: "m", Documents: 20},
+	}}
+}
+
+func oneReplica(shard int) []string { return []string{[]string{"s0", "s1"}[shard]} }
+
+func choose(t *testing.T, served *Served, now time.Time, versions ...int64) int64 {
+	t.Helper()
+	m := &Manifest{}
+	for _, v := range versions {
+		m.Snapshots = append(m.Snapshots, twoShards(v))
+	}
+	chosen, ok := Choose(m, oneReplica, served, nil, now)
+	assert.Assert(t, ok)
+	return chosen.Version
+}
+
+// Guards against a query that pays a failed attempt because it uses a new
+// snapshot before all shards have loaded it.
+func TestNewSnapshotWaitsForEveryShard(t *testing.T) {
+	served := NewServed()
+	served.Learn("s0", []int64{1, 2}, start)
+	served.Learn("s1", []int64{1}, start)
+	assert.Equal(t, choose(t, served, start, 1, 2), int64(1))
+	served.Learn("s1", []int64{1, 2}, start)
+	assert.Equal(t, choose(t, served, start, 1, 2), int64(2))
+}
+
+// Guards against a query that refuses without asking: the backend servers were
+// last seen with an old snapshot, and the manifest lists only a newer one.
+func TestOldStatementDoesNotRuleOutNewerSnapshot(t *testing.T) {
+	served := NewServed()
+	served.Learn("s0", []int64{1}, start)
+	assert.Equal(t, served.Knows("s0", 2, start), Absent)
+	assert.Equal(t, served.Knows("s0", 2, start.Add(2*loadTime)), Unknown)
+	assert.Equal(t, served.Knows("s0", 0, start.Add(2*loadTime)), Absent)
+}
+
+// Guards against choosing a snapshot whose large shard is gone when another
+// covers more documents.
+func TestMostDocumentsWhenEverySnapshotIsIncomplete(t *testing.T) {
+	served := NewServed()
+	served.Learn("s0", []int64{2}, start)
+	served.Learn("s1", []int64{1}, start)
+	assert.Equal(t, choose(t, served, start, 1, 2), int64(1))
+}
--- a/pkg/snapshot/served.go
+++ b/pkg/snapshot/served.go
@@ -10,6 +10,10 @@
 // renew it; a backend server that is not asked may load or drop snapshots unseen.
 const servedTTL = 10 * time.Second
 
+// loadTime is how long a statement rules out snapshots newer than the stated
+// ones. Older ones stay ruled out, since a dropped snapshot does not come back.
+const loadTime = 100 * time.Millisecond
+
 // Knowledge is what is known about one snapshot on one backend server.
 type Knowledge int
 
@@ -65,5 +69,8 @@
 	if slices.Contains(stated.versions, version) {
 		return Present
 	}
+	if version > slices.Max(stated.versions) && now.Sub(stated.at) > loadTime {
+		return Unknown // it may have been loaded since
+	}
 	return Absent
 }
