--- a/pkg/controlplane/machine_test.go
+++ b/pkg/controlplane/machine_test.go
@@ -104,7 +104,20 @@
 // Wake resumes a process; it has to decide on a query at once.
 func (m *machine) Wake(t *rapid.T) {
 	s := m.pick(t)
-	s.frozen = false
+	s.wake()
+	m.decide(t, s)
+}
+
+// PauseInCall pauses a process while it exchanges; it has to decide on a query
+// with the reply at hand.
+func (m *machine) PauseInCall(t *rapid.T) {
+	s := m.pick(t)
+	if s.frozen || !s.ready {
+		return
+	}
+	s.pause = time.Duration(rapid.IntRange(1, 80).Draw(t, "ticks")) * simTick
+	s.plane.exchangeStep(context.Background())
+	s.pause = 0
 	m.decide(t, s)
 }
 
--- a/pkg/controlplane/sim_network_test.go
+++ b/pkg/controlplane/sim_network_test.go
@@ -43,6 +43,8 @@
 	due    []time.Time
 	stale  time.Time // last decision under a stale view with nobody reachable
 	frozen bool
+	pause  time.Duration             // pause in the next call
+	inbox  []*peerpb.ExchangeRequest // received while frozen
 	ready  bool
 	// Failed attempts to start, and the time of the next one.
 	failures int
@@ -219,6 +221,36 @@
 	return other, nil
 }
 
+// queue leaves a request in the socket of a paused process, which reads it when
+// it resumes; the caller has given up by then.
+func (t *simPeers) queue(to membership.Instance, m *peerpb.ExchangeRequest) {
+	other, ok := t.self.net.find(to.ID)
+	if ok && other.frozen && t.self.net.groups[t.self.ID] == t.self.net.groups[other.ID] {
+		other.inbox = append(other.inbox, proto.CloneOf(m))
+	}
+}
+
+// pauseInCall pauses the process between the arrival of a reply and its use.
+func (s *simInstance) pauseInCall() {
+	if s.pause == 0 {
+		return
+	}
+	d := s.pause
+	s.pause = 0
+	s.frozen = true
+	s.net.advance(d)
+	s.frozen = false
+}
+
+// wake resumes a paused process, which first reads the requests of the pause.
+func (s *simInstance) wake() {
+	s.frozen = false
+	for _, m := range s.inbox {
+		_, _ = s.plane.Exchange(context.Background(), m)
+	}
+	s.inbox = nil
+}
+
 func (t *simPeers) count(messages ...proto.Message) {
 	t.self.net.calls++
 	for _, m := range messages {
@@ -229,10 +261,12 @@
 func (t *simPeers) Exchange(ctx context.Context, to membership.Instance, m *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	other, err := t.target(to)
 	if err != nil {
+		t.queue(to, m)
 		return nil, err
 	}
 	reply, err := other.plane.Exchange(ctx, m)
 	t.count(m, reply)
+	t.self.pauseInCall()
 	return reply, err
 }
 
@@ -251,6 +285,6 @@
 	n.service.heal()
 	clear(n.groups)
 	for _, s := range n.alive {
-		s.frozen = false
+		s.wake()
 	}
 }
--- a/pkg/controlplane/store.go
+++ b/pkg/controlplane/store.go
@@ -17,10 +17,23 @@
 // digest and the parsed bundle.
 type Verifier func(data []byte) (version int64, digest string, parsed any, err error)
 
-// rejectionHold is the time for which a rejected version is not fetched again.
-// It ends so that a good document is still accepted after a copy of it that was
-// damaged on the way had been rejected.
-const rejectionHold = 30 * time.Second
+const (
+	// rejectionHold is the time for which a version is not fetched again after
+	// its first rejection. It is short, so that a good copy still takes effect
+	// in time after one that was damaged on the way.
+	rejectionHold = 500 * time.Millisecond
+	// maxRejectionHold bounds the hold, which doubles with each rejection of the
+	// same version: fetching a document that stays bad costs bandwidth.
+	maxRejectionHold = 64 * time.Second
+	// maxRejections bounds the remembered versions.
+	maxRejections = 256
+)
+
+// rejection is the time until which a rejected version is not wanted.
+type rejection struct {
+	until time.Time
+	hold  time.Duration
+}
 
 // Store holds the highest accepted document of each key. A document is never
 // replaced by a lower one. It is safe for concurrent use; reads take no lock.
@@ -32,7 +45,7 @@
 	held atomic.Pointer[map[string]*held] // replaced as a whole, with mu held
 
 	mu        sync.Mutex
-	rejected  map[Version]time.Time         // until when, guarded by mu
+	rejected  map[Version]rejection         // guarded by mu
 	listeners []func(Document, any)         // guarded by mu
 	changed   atomic.Pointer[chan struct{}] // closed and replaced on acceptance
 }
@@ -45,7 +58,7 @@
 
 // NewStore returns an empty store.
 func NewStore(verify Verifier, now func() time.Time, log *slog.Logger) *Store {
-	s := &Store{verify: verify, now: now, log: orDiscard(log), rejected: make(map[Version]time.Time)}
+	s := &Store{verify: verify, now: now, log: orDiscard(log), rejected: make(map[Version]rejection)}
 	s.held.Store(&map[string]*held{})
 	changed := make(chan struct{})
 	s.changed.Store(&changed)
@@ -134,9 +147,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	maps.DeleteFunc(s.rejected, func(_ Version, until time.Time) bool { return !now.Before(until) })
-	s.rejected[announced] = now.Add(rejectionHold)
+	if len(s.rejected) >= maxRejections {
+		clear(s.rejected)
+	}
+	hold := min(max(2*s.rejected[announced].hold, rejectionHold), maxRejectionHold)
+	s.rejected[announced] = rejection{until: s.now().Add(hold), hold: hold}
 	return err
 }
 
@@ -151,8 +166,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	until, rejected := s.rejected[v]
-	return !rejected || !s.now().Before(until)
+	r, rejected := s.rejected[v]
+	return !rejected || !s.now().Before(r.until)
 }
 
 // Get returns the held document of key.
