Make no claim about an attempt when a duplicate of its message may have run

The caller-facing statement was "unknown" already; now the refusal's run state is as well whenever the issuer cannot vouch for earlier messages. TestDuplicateReachesRestartedIssuer failed with the same message before the change.

--- a/pkg/submission/refusal.go
+++ b/pkg/submission/refusal.go
@@ -13,7 +13,9 @@
 	Ticket ticket.Kind         // for ReasonTicket
 	Status peerpb.ResultStatus // for ReasonBackend
 	Detail string
-	// Run is about this attempt: NOT_RUN or UNKNOWN.
+	// Run is about this attempt: NOT_RUN or UNKNOWN. It is UNKNOWN as well when
+	// the issuer ran nothing for the message that it refused but cannot rule out
+	// that it ran a duplicate of it.
 	Run peerpb.RunState
 	// EarlierUnknown is true when earlier attempts with the same ticket may
 	// have run.
@@ -27,6 +29,8 @@
 func (r *Refusal) Error() string {
 	text := fmt.Sprintf("submission refused: %s%s", r.Reason, r.cause())
 	switch {
+	case r.Reason == ReasonTicket && r.EarlierUnknown:
+		return text + ": not run by this attempt; outcome of earlier attempts unknown"
 	case r.Run != peerpb.RunState_RUN_STATE_NOT_RUN:
 		return text + ": outcome unknown"
 	case r.EarlierUnknown:
--- a/pkg/submission/submission_test.go
+++ b/pkg/submission/submission_test.go
@@ -126,6 +126,26 @@
 	return id
 }
 
+// Guards against "not run by this attempt" when a duplicate of the attempt's
+// message ran in the issuer's earlier incarnation.
+func TestDuplicateReachesRestartedIssuer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMachine(tickets)
+		name := m.order(0)
+		issuer, err := strconv.Atoi(issuerOf(t, m.token(name))[1:])
+		assert.NilError(t, err)
+		m.send((issuer+1)%3, name)
+		m.w.handle(m.w.messages.take(0, true))
+		m.w.run(m.w.calls.take(0, false))
+		m.w.update(func() { m.w.processes[issuer].dead = true })
+		m.w.start(issuer, 2)
+		m.w.handle(m.w.messages.take(0, false))
+		m.w.answer(m.w.replies.take(0, false))
+		assert.Equal(t, m.violation(), "")
+		m.drain()
+	})
+}
+
 // Guards against a forward to an address outside the view and against a claim
 // that earlier attempts did not run.
 func TestSubmitWithoutIssuer(t *testing.T) {
--- a/pkg/submission/submit.go
+++ b/pkg/submission/submit.go
@@ -128,6 +128,11 @@
 		EarlierUnknown: reply.EarlierUnknown,
 		Replayed:       reply.Replayed,
 	}
+	if reply.EarlierUnknown {
+		// A duplicate of this attempt's message may have run, for example in an
+		// earlier incarnation of the issuer.
+		refusal.Run = peerpb.RunState_RUN_STATE_UNKNOWN
+	}
 	if kind, ok := decodeTicketKind(reply); ok {
 		refusal.Reason, refusal.Ticket, refusal.Detail = ReasonTicket, kind, ""
 	}
