Overload by arrivals on scarce deployments, not by slow servers

Instances take a connection that is silent for 80 ms for unresponsive. The demo's overload slowed backend servers to a median of 160 ms and the experiment's to 32 ms (p99 above 100 ms), so both would have measured reconnects instead of overload.

--- a/pkg/demo/config.go
+++ b/pkg/demo/config.go
@@ -9,9 +9,6 @@
 const (
 	// queryGap is the time between two queries.
 	queryGap = 25 * time.Millisecond
-	// overloadGap is the gap under overload: four times the capacity that the
-	// slowed backend servers have.
-	overloadGap = 11 * time.Millisecond
 	// calmShare is the part of the queries that is sent before the fault.
 	calmShare = 1.0 / 3
 	// poisonEvery is how often the crashing request is repeated.
--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -20,6 +20,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if fault.Scarce {
+		spec = fleet.Scarce(spec)
+	}
 	f, err := fleet.Start(ctx, fleet.Config{Spec: spec, Seed: config.Seed, Options: config.Options, Start: config.Start})
 	if err != nil {
 		return nil, err
@@ -58,7 +61,7 @@
 			}
 		}
 		time.Sleep(time.Until(next))
-		next = next.Add(r.gap(i >= calm))
+		next = next.Add(queryGap)
 		request := workload.Next()
 		if r.fault.Poison && i >= calm && i%poisonEvery == 0 {
 			request = r.poison(request)
@@ -68,13 +71,6 @@
 	return nil
 }
 
-func (r *run) gap(faulty bool) time.Duration {
-	if faulty && r.fault.Overload {
-		return overloadGap
-	}
-	return queryGap
-}
-
 // poison turns a request into the one that crashes backend servers. It is the
 // same each time, as its caller repeats it, and enters anywhere.
 func (r *run) poison(request fleet.Request) fleet.Request {
--- a/pkg/experiment/arrival.go
+++ b/pkg/experiment/arrival.go
@@ -27,18 +27,3 @@
 		out = append(out, arrival{at: at, request: workload.Next()})
 	}
 }
-
-// shareSamples is the number of requests from which mainShare is estimated.
-const shareSamples = 20000
-
-// mainShare returns the part of a deployment's requests that go to a service.
-func mainShare(spec standin.DeploymentSpec, service string) float64 {
-	workload := fleet.NewWorkload(spec, 1, "share")
-	count := 0
-	for range shareSamples {
-		if workload.Next().Service == service {
-			count++
-		}
-	}
-	return float64(count) / shareSamples
-}
--- a/pkg/experiment/experiment_test.go
+++ b/pkg/experiment/experiment_test.go
@@ -5,6 +5,7 @@
 	"encoding/csv"
 	"encoding/json"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -61,14 +62,15 @@
 	spec, err := scenario.spec()
 	assert.NilError(t, err)
 	assert.Equal(t, len(spec.Services), 1)
-	assert.Equal(t, mainShare(spec, spec.Services[0].Name), 1.0)
+	assert.Equal(t, fleet.NewWorkload(spec, 1, "").Share(spec.Services[0].Name), 1.0)
 	assert.Equal(t, scenario.Load/scenario.CalmLoad, 2.0)
-	assert.Equal(t, spec.Services[0].Time.Median, overloadSlowdown*standin.Office().Services[0].Time.Median)
+	full := standin.Office().Services[0].Capacity()
+	assert.Assert(t, math.Abs(spec.Services[0].Capacity()*4/full-1) < 1e-6)
 	office, err := ScenarioByName("office")
 	assert.NilError(t, err)
 	whole, err := office.spec()
 	assert.NilError(t, err)
-	share := mainShare(whole, whole.Services[0].Name)
+	share := fleet.NewWorkload(whole, 1, "").Share(whole.Services[0].Name)
 	assert.Assert(t, share > 0.4 && share < 0.6, "%f", share)
 }
 
--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -59,7 +59,8 @@
 		config.Duration = config.Scenario.Duration
 	}
 	main := spec.Services[0]
-	e := &experiment{config: config, spec: spec, perLoad: main.Capacity() / mainShare(spec, main.Name)}
+	share := fleet.NewWorkload(spec, config.Seed, "").Share(main.Name)
+	e := &experiment{config: config, spec: spec, perLoad: main.Capacity() / share}
 	defer e.stop()
 	if err := e.startArms(ctx); err != nil {
 		return nil, err
--- a/pkg/experiment/scenario.go
+++ b/pkg/experiment/scenario.go
@@ -16,7 +16,7 @@
 	Description string
 	Deployment  string
 	MainOnly    bool          // load only the main service
-	Slowdown    float64       // of all service times, so that few requests fill the slots; 0 is 1
+	Scarce      bool          // less capacity, see fleet.Scarce
 	Load        float64       // of the main service's capacity
 	CalmLoad    float64       // in the arm without fault; 0 is Load
 	Duration    time.Duration // measured per arm
@@ -29,7 +29,6 @@
 	normalLoad       = 0.25
 	normalDuration   = 8 * time.Second
 	overloadDuration = 5 * time.Second
-	overloadSlowdown = 4
 	overloadLoad     = 2
 	silenceInterval  = 2 * time.Second
 	moveInterval     = time.Second
@@ -46,7 +45,7 @@
 	{Name: "replica-loss", Description: "one replica is lost", Deployment: standin.OfficeName,
 		Load: normalLoad, Duration: normalDuration, Fault: loseReplica},
 	{Name: "overload", Description: "all classes at twice the capacity", Deployment: standin.OfficeName,
-		MainOnly: true, Slowdown: overloadSlowdown, Load: overloadLoad, CalmLoad: 1, Duration: overloadDuration},
+		MainOnly: true, Scarce: true, Load: overloadLoad, CalmLoad: 1, Duration: overloadDuration},
 	{Name: "silent-connections", Description: "open connections to backend servers stop answering every 2 s", Deployment: standin.OfficeName,
 		Load: normalLoad, Duration: normalDuration, Fault: silence},
 	{Name: "repartition", Description: "the index moves to another snapshot every second", Deployment: standin.OfficeName,
@@ -76,7 +75,7 @@
 	return names
 }
 
-// spec returns the deployment with the scenario's services and service times.
+// spec returns the deployment with the scenario's services and capacity.
 func (s Scenario) spec() (standin.DeploymentSpec, error) {
 	spec, err := standin.SpecByName(s.Deployment)
 	if err != nil {
@@ -87,12 +86,8 @@
 			return spec, err
 		}
 	}
-	services := append([]standin.ServiceSpec(nil), spec.Services...)
-	for i := range services {
-		if s.Slowdown > 0 {
-			services[i].Time.Median = time.Duration(float64(services[i].Time.Median) * s.Slowdown)
-		}
+	if s.Scarce {
+		spec = fleet.Scarce(spec)
 	}
-	spec.Services = services
 	return spec, nil
 }
--- a/pkg/fleet/fault.go
+++ b/pkg/fleet/fault.go
@@ -14,8 +14,9 @@
 	Description string
 	// Poison makes a part of the requests crash backend servers.
 	Poison bool
-	// Overload makes requests arrive faster than the slots can serve them.
-	Overload bool
+	// Scarce makes the fault run on a deployment of less capacity, so that one
+	// process can overload it.
+	Scarce bool
 	// Apply switches the fault on. It may return before the fault has run its
 	// course; what it starts ends with the context.
 	Apply func(ctx context.Context, f *Fleet) error
--- a/pkg/fleet/faults.go
+++ b/pkg/fleet/faults.go
@@ -9,16 +9,16 @@
 
 // Sizes of the faults.
 const (
-	stragglerFactor = 20
-	overloadFactor  = 20 // on service times, so that few requests are an overload
-	crashRestart    = time.Second
-	silencePeriod   = 700 * time.Millisecond
-	repartitionLag  = 400 * time.Millisecond
-	partitionLength = 1500 * time.Millisecond
-	lostReplicas    = 3
-	wrongReplyEvery = 20
-	lateReplyDelay  = 300 * time.Millisecond
-	drainGrace      = time.Second
+	stragglerFactor  = 20
+	overloadMultiple = 2 // of the main service's capacity, beside the normal requests
+	crashRestart     = time.Second
+	silencePeriod    = 700 * time.Millisecond
+	repartitionLag   = 400 * time.Millisecond
+	partitionLength  = 1500 * time.Millisecond
+	lostReplicas     = 3
+	wrongReplyEvery  = 20
+	lateReplyDelay   = 300 * time.Millisecond
+	drainGrace       = time.Second
 )
 
 var faults = []Fault{
@@ -29,7 +29,7 @@
 	{Name: "config-down", Description: "the configuration service is down", Apply: configDown},
 	{Name: "repartition", Description: "the index moves to snapshots with other partitions", Apply: repartition},
 	{Name: "crashing-request", Description: "a repeated request crashes every backend server that runs it", Poison: true, Apply: crashingRequest},
-	{Name: "overload", Description: "requests arrive at four times the capacity", Overload: true, Apply: overload},
+	{Name: "overload", Description: "further requests arrive at twice the capacity", Scarce: true, Apply: overload},
 	{Name: "wrong-replies", Description: "backend servers send late, truncated, crossed and outdated replies", Apply: wrongReplies},
 	{Name: "drain", Description: "every third backend server drains and leaves", Apply: drain},
 	{Name: "instance-loss", Description: "one instance is killed", Apply: instanceLoss},
@@ -96,10 +96,15 @@
 	return nil
 }
 
-func overload(_ context.Context, f *Fleet) error {
-	for _, server := range f.Deployment.Servers {
-		server.SetStraggler(overloadFactor)
-	}
+// overload adds requests of all classes that are audited but not reported.
+func overload(ctx context.Context, f *Fleet) error {
+	main := f.MainService()
+	workload := NewWorkload(f.config.Spec, f.config.Seed+1, "background")
+	rate := overloadMultiple * main.Capacity() / workload.Share(main.Name)
+	go every(ctx, time.Duration(float64(time.Second)/rate), func() {
+		request := workload.Next()
+		go f.Do(ctx, request)
+	})
 	return nil
 }
 
--- a/pkg/fleet/workload.go
+++ b/pkg/fleet/workload.go
@@ -56,6 +56,21 @@
 	return request
 }
 
+// shareSamples is the number of requests from which a share is estimated.
+const shareSamples = 20000
+
+// Share returns the part of such a workload's requests that go to a service.
+func (w *Workload) Share(service string) float64 {
+	sample := NewWorkload(w.spec, 1, "share")
+	count := 0
+	for range shareSamples {
+		if sample.Next().Service == service {
+			count++
+		}
+	}
+	return float64(count) / shareSamples
+}
+
 func (w *Workload) class() Class {
 	total := 0.0
 	for _, class := range w.classes {
