--- a/pkg/fleet/balancer.go
+++ b/pkg/fleet/balancer.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -14,17 +15,35 @@
 // balancer simulates the platform's load balancer: it chooses among the
 // instances that were ready when it last looked.
 type balancer struct {
-	fleet *Fleet
+	members []*member
 
-	mu     sync.Mutex
-	ready  []int     // guarded by mu
-	looked time.Time // guarded by mu
+	mu    sync.Mutex
+	ready []int // guarded by mu; numbers of instances
+}
+
+// run looks at the instances until the context ends.
+func (b *balancer) run(ctx context.Context) {
+	every(ctx, balancerLag, b.look)
+}
+
+func (b *balancer) look() {
+	var ready []int
+	for number, m := range b.members {
+		if m.ready() {
+			ready = append(ready, number)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
 }
 
 // pick returns the instance for a random draw, other than the excluded ones.
 func (b *balancer) pick(draw uint64, excluded map[int]bool) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	var candidates []int
-	for _, number := range b.look() {
+	for _, number := range b.ready {
 		if !excluded[number] {
 			candidates = append(candidates, number)
 		}
@@ -34,19 +53,3 @@
 	}
 	return candidates[draw%uint64(len(candidates))], nil
 }
-
-func (b *balancer) look() []int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if time.Since(b.looked) < balancerLag {
-		return b.ready
-	}
-	b.ready = nil
-	for number, m := range b.fleet.members {
-		if m.ready() {
-			b.ready = append(b.ready, number)
-		}
-	}
-	b.looked = time.Now()
-	return b.ready
-}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -42,7 +42,8 @@
 	config Config
 	author *bundle.Author
 	http   *http.Client
-	lb     balancer
+	lb     *balancer
+	cancel context.CancelFunc // ends the load balancer
 
 	members []*member // not modified after start
 
@@ -73,7 +74,6 @@
 		author:     author,
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerTarget}},
 	}
-	f.lb.fleet = f
 	if err := f.startAll(ctx); err != nil {
 		f.Stop()
 		return nil, err
@@ -100,7 +100,19 @@
 			return err
 		}
 	}
-	return f.awaitReady(ctx)
+	if err := f.awaitReady(ctx); err != nil {
+		return err
+	}
+	f.startBalancer()
+	return nil
+}
+
+func (f *Fleet) startBalancer() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.lb = &balancer{members: f.members}
+	f.lb.look()
+	go f.lb.run(ctx)
 }
 
 // newMember reserves addresses, so that the platform's list can be published
@@ -175,6 +187,9 @@
 
 // Stop ends the instances and the platform.
 func (f *Fleet) Stop() {
+	if f.cancel != nil {
+		f.cancel()
+	}
 	f.Deployment.Network.Heal()
 	f.restarts.Lock()
 	defer f.restarts.Unlock()
