Open instances' listeners before the start and start instances together

A demo run failed with "address already in use": ports were reserved by opening and closing listeners, and a link of the same process took one of them. The listeners now stay open and are passed to the instance.

--- a/pkg/demo/fake_test.go
+++ b/pkg/demo/fake_test.go
@@ -41,7 +41,7 @@
 	})
 	mux.HandleFunc("POST /v1/{team}/{service}/submit", started.submit)
 	started.server = &http.Server{Addr: spec.CallerAddress, Handler: mux, ReadHeaderTimeout: time.Minute}
-	go func() { _ = started.server.ListenAndServe() }()
+	go func() { _ = started.server.Serve(spec.Listeners.Caller) }()
 	return &started, nil
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -4,12 +4,12 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sycamorelift/sycamorelift/pkg/bundle"
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
@@ -95,10 +95,8 @@
 	if err := f.publishInstances(); err != nil {
 		return err
 	}
-	for _, m := range f.members {
-		if err := m.start(ctx, f.config.Start); err != nil {
-			return err
-		}
+	if err := f.startMembers(ctx); err != nil {
+		return err
 	}
 	if err := f.awaitReady(ctx); err != nil {
 		return err
@@ -107,6 +105,16 @@
 	return nil
 }
 
+// startMembers starts the instances together: each asks others for documents,
+// and would wait for those that are not yet started.
+func (f *Fleet) startMembers(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, m := range f.members {
+		group.Go(func() error { return m.start(ctx, f.config.Start) })
+	}
+	return group.Wait()
+}
+
 func (f *Fleet) startBalancer() {
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
@@ -115,11 +123,12 @@
 	go f.lb.run(ctx)
 }
 
-// newMember reserves addresses, so that the platform's list can be published
+// newMember opens the instance's listeners, so that the platform's list can be published
 // before the instances start.
 func (f *Fleet) newMember(number int) (*member, error) {
-	addresses, err := freeAddresses(3)
+	listeners, err := listen("", "", "")
 	if err != nil {
+		listeners.close()
 		return nil, err
 	}
 	zones := f.config.Spec.Zones
@@ -127,9 +136,10 @@
 		ID:              fmt.Sprintf("%s-i%02d", f.config.Spec.Name, number),
 		Zone:            zones[number%len(zones)],
 		Region:          f.config.Spec.Region,
-		CallerAddress:   addresses[0],
-		PeerAddress:     addresses[1],
-		OperatorAddress: addresses[2],
+		CallerAddress:   listeners.Caller.Addr().String(),
+		PeerAddress:     listeners.Peer.Addr().String(),
+		OperatorAddress: listeners.Operator.Addr().String(),
+		Listeners:       listeners,
 		ConfigURL:       "http://" + f.Deployment.Config.Address(),
 		Trust:           f.author.Trust(),
 		Options:         f.config.Options,
@@ -239,20 +249,6 @@
 	return f.Deployment.SetInstances(instances)
 }
 
-// freeAddresses returns loopback addresses that are free now.
-func freeAddresses(count int) ([]string, error) {
-	addresses := make([]string, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "reserve an address")
-		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses, nil
-}
-
 // MainService returns the deployment's first service with several shards, on
 // which faults act, or else its first service.
 func (f *Fleet) MainService() standin.ServiceSpec {
--- a/pkg/fleet/instance.go
+++ b/pkg/fleet/instance.go
@@ -21,10 +21,11 @@
 	ID              string
 	Zone            string
 	Region          string
-	CallerAddress   string // IP:port to listen on
+	CallerAddress   string // IP:port
 	PeerAddress     string
 	OperatorAddress string
-	ConfigURL       string // of the configuration service
+	Listeners       Listeners // on these addresses
+	ConfigURL       string    // of the configuration service
 	Trust           bundle.Trust
 	Options         Options
 	Instances       int // of the fleet
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -15,14 +15,21 @@
 	spec InstanceSpec
 	link *standin.PeerLink // set before start
 
+	started bool // starts and restarts don't overlap
+
 	mu       sync.Mutex
 	instance Instance         // guarded by mu; nil while stopped
 	state    membership.State // guarded by mu; in the platform's list
 }
 
 func (m *member) start(ctx context.Context, starter Starter) error {
-	instance, err := starter(ctx, m.spec)
+	spec, err := m.openSpec()
+	if err != nil {
+		return err
+	}
+	instance, err := starter(ctx, spec)
 	if err != nil {
+		spec.Listeners.close()
 		return eris.Wrapf(err, "start instance %s", m.spec.ID)
 	}
 	m.mu.Lock()
@@ -31,6 +38,19 @@
 	return nil
 }
 
+// openSpec returns the instance's specification with listeners that were opened
+// at first or, for a restart, anew on the same addresses.
+func (m *member) openSpec() (InstanceSpec, error) {
+	spec := m.spec
+	if !m.started {
+		m.started = true
+		return spec, nil
+	}
+	var err error
+	spec.Listeners, err = listen(spec.CallerAddress, spec.PeerAddress, spec.OperatorAddress)
+	return spec, err
+}
+
 // listed returns the entry of the platform's list with the own peer address.
 func (m *member) listed() membership.Instance {
 	m.mu.Lock()
@@ -87,6 +107,7 @@
 
 func (m *member) stop() {
 	m.kill()
+	m.spec.Listeners.close()
 	if m.link != nil {
 		m.link.Stop()
 	}
--- a/pkg/fleet/startinstance.go
+++ b/pkg/fleet/startinstance.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// loadBalancerDelay covers the balancer's polling of readiness.
-	loadBalancerDelay = 500 * time.Millisecond
+	// loadBalancerDelay exceeds the balancer's lag.
+	loadBalancerDelay = 2 * balancerLag
 	bootstrapTimeout  = 10 * time.Second
 )
 
@@ -28,9 +28,12 @@
 	s.BootstrapTimeout = bootstrapTimeout
 	s.Log.Level = slog.LevelError
 	started, err := instance.New(ctx, &s, instance.Options{
-		Entry:           entry.Options(spec.Options),
-		DirectInstances: spec.Instances,
-		LogOutput:       io.Discard,
+		Entry:            entry.Options(spec.Options),
+		DirectInstances:  spec.Instances,
+		LogOutput:        io.Discard,
+		CallerListener:   spec.Listeners.Caller,
+		PeerListener:     spec.Listeners.Peer,
+		OperatorListener: spec.Listeners.Operator,
 	})
 	if err != nil {
 		return nil, err
