--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sycamorelift/sycamorelift/pkg/bundle"
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
@@ -41,7 +42,8 @@
 	config Config
 	author *bundle.Author
 	http   *http.Client
-	lb     balancer
+	lb     *balancer
+	cancel context.CancelFunc // ends the load balancer
 
 	members []*member // not modified after start
 
@@ -72,7 +74,6 @@
 		author:     author,
 		http:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerTarget}},
 	}
-	f.lb.fleet = f
 	if err := f.startAll(ctx); err != nil {
 		f.Stop()
 		return nil, err
@@ -94,19 +95,40 @@
 	if err := f.publishInstances(); err != nil {
 		return err
 	}
+	if err := f.startMembers(ctx); err != nil {
+		return err
+	}
+	if err := f.awaitReady(ctx); err != nil {
+		return err
+	}
+	f.startBalancer()
+	return nil
+}
+
+// startMembers starts the instances together: each asks others for documents,
+// and would wait for those that are not yet started.
+func (f *Fleet) startMembers(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
 	for _, m := range f.members {
-		if err := m.start(ctx, f.config.Start); err != nil {
-			return err
-		}
+		group.Go(func() error { return m.start(ctx, f.config.Start) })
 	}
-	return f.awaitReady(ctx)
+	return group.Wait()
 }
 
-// newMember reserves addresses, so that the platform's list can be published
+func (f *Fleet) startBalancer() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.lb = &balancer{members: f.members}
+	f.lb.look()
+	go f.lb.run(ctx)
+}
+
+// newMember opens the instance's listeners, so that the platform's list can be published
 // before the instances start.
 func (f *Fleet) newMember(number int) (*member, error) {
-	addresses, err := freeAddresses(3)
+	listeners, err := listen("", "", "")
 	if err != nil {
+		listeners.close()
 		return nil, err
 	}
 	zones := f.config.Spec.Zones
@@ -114,9 +136,10 @@
 		ID:              fmt.Sprintf("%s-i%02d", f.config.Spec.Name, number),
 		Zone:            zones[number%len(zones)],
 		Region:          f.config.Spec.Region,
-		CallerAddress:   addresses[0],
-		PeerAddress:     addresses[1],
-		OperatorAddress: addresses[2],
+		CallerAddress:   listeners.Caller.Addr().String(),
+		PeerAddress:     listeners.Peer.Addr().String(),
+		OperatorAddress: listeners.Operator.Addr().String(),
+		Listeners:       listeners,
 		ConfigURL:       "http://" + f.Deployment.Config.Address(),
 		Trust:           f.author.Trust(),
 		Options:         f.config.Options,
@@ -175,6 +198,9 @@
 
 // Stop ends the instances and the platform.
 func (f *Fleet) Stop() {
+	if f.cancel != nil {
+		f.cancel()
+	}
 	f.Deployment.Network.Heal()
 	f.restarts.Lock()
 	defer f.restarts.Unlock()
