--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,6 +21,7 @@
 	Instance         Instance
 	Listen           Listen
 	ConfigService    ConfigService
+	Seeds            []string // peer addresses to ask when the configuration service is down at start
 	Trust            bundle.Trust // persons whose bundle signatures count
 	TLS              TLS
 	Log              Log
@@ -80,6 +81,7 @@
 	s.Instance.read(o.Required("instance"))
 	s.Listen.read(o.Required("listen"))
 	s.ConfigService.read(o.Required("config_service"))
+	readSeeds(o.Optional("seeds"), &s.Seeds)
 	s.Trust = bundle.ParseTrust(o.Required("trust"))
 	s.TLS.read(o.Optional("tls"), directory)
 	s.Log.read(o.Optional("log"))
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -27,6 +27,7 @@
 		Instance:      Instance{ID: "office-a-1", Zone: "sk-1a", Region: "sk-1"},
 		Listen:        Listen{Caller: "127.0.0.1:8440", Peer: "127.0.0.1:8441", Operator: "[::1]:8442"},
 		ConfigService: ConfigService{URL: "http://127.0.0.1:8500"},
+		Seeds:         []string{"127.0.0.2:8441"},
 		Trust:         bundle.Trust{Signers: []bundle.Signer{signer}},
 		Log:           Log{Format: LogText, Level: slog.LevelDebug},
 		Traces:        Traces{Exporter: TracesOTLP, Endpoint: "http://127.0.0.1:4318", Sample: 0.5},
