--- a/pkg/bundle/readenvelope.go
+++ b/pkg/bundle/readenvelope.go
@@ -73,11 +73,7 @@
 }
 
 func checkSectionName(v yamldoc.Value, name string) {
-	if name == "" || name == PlatformSection {
-		return
-	}
-	team, ok := teamOfSection(name)
-	if !ok || !namePattern.MatchString(team) {
+	if name != "" && !IsSection(name) {
 		v.Fail("%q is neither %q nor %q with a team's name", name, PlatformSection, teamSectionPrefix)
 	}
 }
--- a/pkg/bundle/section.go
+++ b/pkg/bundle/section.go
@@ -14,6 +14,12 @@
 // TeamSection returns the name of a team's section.
 func TeamSection(team string) string { return teamSectionPrefix + team }
 
+// IsSection reports whether a section may have the name.
+func IsSection(name string) bool {
+	team, ok := teamOfSection(name)
+	return name == PlatformSection || ok && namePattern.MatchString(team)
+}
+
 func teamOfSection(section string) (string, bool) {
 	return strings.CutPrefix(section, teamSectionPrefix)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,7 +21,7 @@
 	Instance         Instance
 	Listen           Listen
 	ConfigService    ConfigService
-	Seeds            []string // peer addresses to ask when the configuration service is down at start
+	Seeds            []string     // peer addresses to ask when the configuration service is down at start
 	Trust            bundle.Trust // persons whose bundle signatures count
 	TLS              TLS
 	Log              Log
