State the right line of YAML syntax errors

The YAML library's parser counts the lines of its errors from 0 and its scanner from 1, so an unclosed list in line 2 was reported in line 1. For an unclosed list the library states where the list starts, not where its end was expected.

--- a/pkg/yamldoc/document.go
+++ b/pkg/yamldoc/document.go
@@ -8,9 +8,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"regexp"
-	"strconv"
-	"strings"
 
 	"go.yaml.in/yaml/v3"
 
@@ -92,20 +89,6 @@
 	return &node, nil
 }
 
-var syntaxLine = regexp.MustCompile(`^line (\d+): `)
-
-// addSyntax records a syntax error. The YAML library states its line within
-// the message, and no column.
-func (d *Document) addSyntax(err error) {
-	message := strings.TrimPrefix(err.Error(), "yaml: ")
-	line := 1
-	if m := syntaxLine.FindStringSubmatch(message); m != nil {
-		line, _ = strconv.Atoi(m[1])
-		message = strings.TrimPrefix(message, m[0])
-	}
-	d.add(line, 1, "", message)
-}
-
 func (d *Document) add(line, column int, path, message string) {
 	d.findings = append(d.findings, finding.Finding{
 		File:    d.file,
