Fetch from the latest announcer first and draw partners by index

The latest announcement now comes first. An exchange that waits for the fetch of another task also looks every 20 ms whether it may fetch itself, so that one unresponsive source does not use up the refresh.

--- a/pkg/controlplane/bootstrap.go
+++ b/pkg/controlplane/bootstrap.go
@@ -14,7 +14,7 @@
 		if err == nil {
 			return nil
 		}
-		if !pause(ctx, delay) {
+		if !await(ctx, nil, delay) {
 			return err
 		}
 	}
@@ -57,15 +57,3 @@
 	}
 	return nil
 }
-
-// pause waits for d; it reports false when ctx ended before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/controlplane/fetch.go
+++ b/pkg/controlplane/fetch.go
@@ -11,6 +11,9 @@
 const (
 	// fetchPoll is the pause of the fetch task while a document is wanted.
 	fetchPoll = 50 * time.Millisecond
+	// obtainPoll is the interval at which an exchange that waits for the fetch of
+	// another task looks whether it may fetch itself.
+	obtainPoll = 20 * time.Millisecond
 	// obtainAttempts bounds the fetches that one exchange waits for.
 	obtainAttempts = 3
 )
@@ -44,26 +47,35 @@
 }
 
 func (p *Plane) obtainOne(ctx context.Context, v Version) bool {
-	for range obtainAttempts {
+	for attempts := 0; attempts < obtainAttempts; {
 		changed := p.store.Changed()
 		if v.Digest == "" || !p.store.Wants(v) {
 			return true
 		}
 		if p.fetchKey(ctx, v.Key) {
+			attempts++
 			continue
 		}
-		if !p.isFetching(v.Key) {
+		if !p.isFetching(v.Key) || !await(ctx, changed, obtainPoll) {
 			break
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
 	}
 	return !p.store.Wants(v)
 }
 
+// await waits for changed, at most for d; it reports false when ctx ended.
+func await(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 func (p *Plane) isFetching(key string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/controlplane/partners.go
+++ b/pkg/controlplane/partners.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 )
@@ -10,12 +11,30 @@
 // order. Usable instances come first; the others are asked only when no usable
 // one is known, so that a wrong view cannot isolate this instance.
 func pickPartners(self string, usable, listed []membership.Instance, n int, random *rand.Rand) []membership.Instance {
-	partners := without(usable, self)
-	if len(partners) == 0 {
-		partners = without(listed, self)
+	if partners := sample(self, usable, n, random); len(partners) > 0 {
+		return partners
 	}
-	random.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
-	return partners[:min(n, len(partners))]
+	return sample(self, listed, n, random)
+}
+
+// sample returns up to n distinct instances other than self in random order. A
+// few of many are drawn by index, because copying a large list for every
+// exchange costs more than the exchange.
+func sample(self string, from []membership.Instance, n int, random *rand.Rand) []membership.Instance {
+	if len(from) < 4*(n+1) {
+		others := without(from, self)
+		random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		return others[:min(n, len(others))]
+	}
+	picked := make([]membership.Instance, 0, n)
+	for len(picked) < n {
+		drawn := from[random.IntN(len(from))]
+		isSame := func(i membership.Instance) bool { return i.ID == drawn.ID }
+		if drawn.ID != self && !slices.ContainsFunc(picked, isSame) {
+			picked = append(picked, drawn)
+		}
+	}
+	return picked
 }
 
 // pickAcrossZones is pickPartners with one instance of each availability zone
--- a/pkg/controlplane/sim_network_test.go
+++ b/pkg/controlplane/sim_network_test.go
@@ -239,16 +239,32 @@
 	s.pause = 0
 	s.frozen = true
 	s.net.advance(d)
+	s.resume()
+}
+
+// resume ends a pause. The bundle of the process is recorded at once, because
+// others may learn it before the tick ends.
+func (s *simInstance) resume() {
 	s.frozen = false
+	if s.ready {
+		s.net.note(s.ID, s.bundle())
+	}
+}
+
+// note lowers the recorded bundle of a party in this tick.
+func (n *simNetwork) note(party string, held Version) {
+	if len(n.history) == 0 {
+		return
+	}
+	last := n.history[len(n.history)-1]
+	if recorded, ok := last[party]; !ok || held.Compare(recorded) < 0 {
+		last[party] = held
+	}
 }
 
 // wake resumes a paused process, which first reads the requests of the pause.
 func (s *simInstance) wake() {
-	s.frozen = false
-	last := s.net.history[len(s.net.history)-1]
-	if _, recorded := last[s.ID]; !recorded && s.ready {
-		last[s.ID] = s.bundle() // others may learn it before the tick ends
-	}
+	s.resume()
 	for _, m := range s.inbox {
 		_, _ = s.plane.Exchange(context.Background(), m)
 	}
--- a/pkg/controlplane/sim_service_test.go
+++ b/pkg/controlplane/sim_service_test.go
@@ -23,6 +23,7 @@
 	stale   map[string]int // revision shown to an instance, by id
 	shown   map[string]int // highest revision read by an instance, by id
 	reads   int64
+	bytes   int64 // of documents and of the keys in changes
 	perTick map[time.Time]int
 	servers []membership.BackendServer
 }
@@ -138,6 +139,7 @@
 		revision = old
 	}
 	s.shown[r.self.ID] = max(s.shown[r.self.ID], revision)
+	s.net.note(serviceShown+r.self.ID, s.bundleAt(s.shown[r.self.ID]))
 	return s.states[revision], revision, nil
 }
 
@@ -150,6 +152,7 @@
 	if !ok {
 		return configclient.Document{}, &configclient.NotFoundError{Key: key}
 	}
+	r.service.bytes += int64(len(document.Data))
 	return document, nil
 }
 
@@ -164,6 +167,7 @@
 	change := configclient.Change{Revision: int64(revision), Keys: make(map[string]int64)}
 	for key, document := range state {
 		change.Keys[key] = document.Revision
+		r.service.bytes += int64(len(key) + 8)
 	}
 	return change, nil
 }
--- a/pkg/controlplane/wanted.go
+++ b/pkg/controlplane/wanted.go
@@ -8,7 +8,7 @@
 const (
 	// fetchHedgeAfter is the time after which a second source is asked while a
 	// first one has not answered, so that a paused peer delays no change.
-	fetchHedgeAfter = 250 * time.Millisecond
+	fetchHedgeAfter = 150 * time.Millisecond
 	// fetchRetryDelay is the pause after all known sources have failed.
 	fetchRetryDelay = 100 * time.Millisecond
 	// wantedHold bounds the time for which an announced document is looked for.
@@ -52,13 +52,18 @@
 		known = &want{version: v, since: now}
 		w.wants[v.Key] = known
 	}
-	if v != known.version || slices.Contains(known.sources, source) {
+	if v != known.version || len(known.sources) > 0 && known.sources[0] == source {
 		return
 	}
-	if source != "" && len(known.sources) < maxFetchSources {
-		known.sources = append(known.sources, source)
-		known.earliest = time.Time{}
+	known.sources = slices.DeleteFunc(known.sources, func(s string) bool { return s == source })
+	if source == "" {
+		return
 	}
+	// The latest announcement comes first: its sender is reachable now, while
+	// earlier ones may have been read late by a process that was paused.
+	known.sources = slices.Insert(known.sources, 0, source)
+	known.sources = known.sources[:min(len(known.sources), maxFetchSources)]
+	known.earliest = time.Time{}
 }
 
 // claim returns the order to fetch key when one is due, and counts it as begun.
--- a/pkg/membership/roster.go
+++ b/pkg/membership/roster.go
@@ -15,6 +15,7 @@
 type roster struct {
 	revision  int64
 	instances []candidate // by id
+	listed    []Instance  // the same without hashes
 	byID      map[string]Instance
 	servers   map[string]BackendServer
 	shards    map[shardKey][]BackendServer // by replica
@@ -36,6 +37,9 @@
 		r.instances = append(r.instances, newCandidate(instance))
 	}
 	slices.SortFunc(r.instances, func(a, b candidate) int { return cmp.Compare(a.ID, b.ID) })
+	for _, c := range r.instances {
+		r.listed = append(r.listed, c.Instance)
+	}
 	for _, server := range m.BackendServers {
 		r.servers[server.ID] = server
 	}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -137,10 +137,5 @@
 
 // Listed returns all listed instances by id, in any state.
 func (v *View) Listed() []Instance {
-	candidates := v.roster.Load().instances
-	listed := make([]Instance, 0, len(candidates))
-	for _, c := range candidates {
-		listed = append(listed, c.Instance)
-	}
-	return listed
+	return v.roster.Load().listed
 }
