Keep rankings when only a backend server drains

Each drain notice rebuilt all rankings: 2.5 ms for 1,900 backend servers and 440 instances. A rolling restart of 10 backend servers per second would use 2.5% of a core, more than the whole control plane may use. Rankings are now kept while the usable instances are the same, and only shards with draining servers are filtered: 0.16 ms per notice at 440 instances, both on a busy machine. A change of the usable instances still ranks everything again.

Disabled in turn and seen failing: zone preference, weights by hash, floor and expiry of suspicion, expiry of drains, memory of incarnations, order of lists, own instance as fallback, leaving servers left out, rankings kept after an instance changed.

--- a/pkg/membership/build.go
+++ b/pkg/membership/build.go
@@ -14,22 +14,26 @@
 
 // build computes the epoch that holds at now. Caller holds v.mu.
 func (v *View) build(now time.Time) *epoch {
-	r := v.roster.Load()
-	e := &epoch{}
-	usable := v.usable(r, e, now)
+	e := &epoch{roster: v.roster.Load()}
+	usable := v.usable(e, now)
 	for _, c := range usable {
 		e.usable = append(e.usable, c.Instance)
 	}
-	e.rank(r, usable, v.selfID)
-	e.shards = v.replicas(r, e, now)
+	if e.sameOwners(v.built) {
+		e.owners, e.owned = v.built.owners, v.built.owned
+	} else {
+		e.rank(usable, v.selfID)
+	}
+	v.reduce(e, now)
+	v.built = e
 	return e
 }
 
 // usable returns the live instances without drain notice or suspicion. When
 // nothing is left, this instance alone is usable: it can always reach itself.
-func (v *View) usable(r *roster, e *epoch, now time.Time) []candidate {
-	live := make([]candidate, 0, len(r.instances))
-	for _, c := range r.instances {
+func (v *View) usable(e *epoch, now time.Time) []candidate {
+	live := make([]candidate, 0, len(e.roster.instances))
+	for _, c := range e.roster.instances {
 		if c.State == StateLeaving {
 			continue
 		}
@@ -77,18 +81,30 @@
 	return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.id, b.id))
 }
 
-// replicas returns the shards without leaving and draining backend servers.
-func (v *View) replicas(r *roster, e *epoch, now time.Time) map[shardKey][]BackendServer {
-	shards := make(map[shardKey][]BackendServer, len(r.shards))
-	for key, all := range r.shards {
-		kept := make([]BackendServer, 0, len(all))
-		for _, server := range all {
-			e.expire(v.drainedServers.end(server.ID, now))
-			if server.State != StateLeaving && !v.drainedServers.isDraining(server.ID, now) {
-				kept = append(kept, server)
-			}
+// reduce fills e.reduced with the shards that have draining servers.
+func (v *View) reduce(e *epoch, now time.Time) {
+	e.reduced = make(map[shardKey][]BackendServer)
+	for _, id := range v.drainedServers.draining(now) {
+		server, listed := e.roster.servers[id]
+		if !listed {
+			continue
+		}
+		e.expire(v.drainedServers.end(id, now))
+		key := shardKey{server.Team, server.Service, server.Shard}
+		if _, done := e.reduced[key]; done {
+			continue
+		}
+		e.reduced[key] = v.withoutDraining(e.roster.shards[key], now)
+	}
+}
+
+// withoutDraining returns the replicas that no drain notice holds for.
+func (v *View) withoutDraining(replicas []BackendServer, now time.Time) []BackendServer {
+	kept := make([]BackendServer, 0, len(replicas))
+	for _, server := range replicas {
+		if !v.drainedServers.isDraining(server.ID, now) {
+			kept = append(kept, server)
 		}
-		shards[key] = kept
 	}
-	return shards
+	return kept
 }
--- a/pkg/membership/drainledger.go
+++ b/pkg/membership/drainledger.go
@@ -78,6 +78,17 @@
 	return ok && e.holds(now)
 }
 
+// draining returns the ids that a notice holds for.
+func (l *drainLedger) draining(now time.Time) []string {
+	var ids []string
+	for id, e := range l.entries {
+		if e.holds(now) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // end returns when the notice of id ends by itself; zero when none holds.
 func (l *drainLedger) end(id string, now time.Time) time.Time {
 	if !l.isDraining(id, now) {
--- a/pkg/membership/epoch.go
+++ b/pkg/membership/epoch.go
@@ -14,11 +14,19 @@
 // epoch is the result of a roster, the drain notices and the suspicions that
 // hold at one time. It is immutable, so readers need no lock.
 type epoch struct {
+	roster     *roster
 	validUntil time.Time // zero when nothing expires by itself
 	usable     []Instance
 	owners     map[string][]Instance // by backend server id, rank 1 first
-	shards     map[shardKey][]BackendServer
 	owned      []OwnedServer
+	// reduced holds the shards with draining servers, without those.
+	reduced map[shardKey][]BackendServer
+}
+
+// sameOwners reports whether the rankings of old hold for e as well: drain
+// notices of backend servers, the usual change, do not affect them.
+func (e *epoch) sameOwners(old *epoch) bool {
+	return old != nil && old.roster == e.roster && slices.Equal(old.usable, e.usable)
 }
 
 // validAt reports whether no notice or suspicion has expired since.
@@ -37,7 +45,8 @@
 }
 
 // rank fills owners and owned from the usable instances.
-func (e *epoch) rank(r *roster, usable []candidate, self string) {
+func (e *epoch) rank(usable []candidate, self string) {
+	r := e.roster
 	zones := make(map[string][]candidate)
 	for _, c := range usable {
 		zones[c.Zone] = append(zones[c.Zone], c)
--- a/pkg/membership/roster.go
+++ b/pkg/membership/roster.go
@@ -18,7 +18,7 @@
 	listed    []Instance  // the same without hashes
 	byID      map[string]Instance
 	servers   map[string]BackendServer
-	shards    map[shardKey][]BackendServer // by replica
+	shards    map[shardKey][]BackendServer // by replica, without leaving ones
 }
 
 // newRoster indexes m. Entries are sorted, so that the order of the published
@@ -44,6 +44,9 @@
 		r.servers[server.ID] = server
 	}
 	for _, server := range r.servers {
+		if server.State == StateLeaving {
+			continue
+		}
 		key := shardKey{server.Team, server.Service, server.Shard}
 		r.shards[key] = append(r.shards[key], server)
 	}
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -25,6 +25,7 @@
 	drainedServers   *drainLedger // guarded by mu
 	drainedInstances *drainLedger // guarded by mu
 	suspicion        *suspicion   // guarded by mu
+	built            *epoch       // the last one, guarded by mu
 }
 
 // NewView returns a view without members for the instance selfID in the
@@ -114,7 +115,12 @@
 // Replicas returns the backend servers of a shard by replica number, without
 // leaving and draining ones.
 func (v *View) Replicas(team, service string, shard int, now time.Time) []BackendServer {
-	return v.epochAt(now).shards[shardKey{team, service, shard}]
+	e := v.epochAt(now)
+	key := shardKey{team, service, shard}
+	if reduced, ok := e.reduced[key]; ok {
+		return reduced
+	}
+	return e.roster.shards[key]
 }
 
 // Instances returns the usable instances by id: live, not draining and not
--- a/pkg/membership/view_bench_test.go
+++ b/pkg/membership/view_bench_test.go
@@ -21,23 +21,26 @@
 	return m
 }
 
-// BenchmarkRanking measures the ranking of all backend servers after a change,
-// and the lookup in between.
+// BenchmarkRanking measures the work after a change of the usable instances,
+// which ranks all backend servers, after a drain notice of a backend server, and
+// the lookup in between.
 func BenchmarkRanking(b *testing.B) {
 	for _, size := range []int{7, 40, 440, 1000} {
 		v := viewOf(benchMembers(size))
-		b.Run(fmt.Sprintf("change/instances=%d", size), func(b *testing.B) {
-			b.ReportAllocs()
-			for i := range b.N {
-				v.Drain("x1", fmt.Sprint(i), start.Add(time.Duration(i)))
-				v.Owners("s1", start)
-			}
-		})
-		b.Run(fmt.Sprintf("lookup/instances=%d", size), func(b *testing.B) {
-			b.ReportAllocs()
-			for range b.N {
-				v.Owners("s1", start)
-			}
-		})
+		at := func(i int) time.Time { return start.Add(time.Duration(i)) }
+		changes := map[string]func(i int){
+			"instance": func(i int) { v.ReportCall("i1", i%(suspicionFailures+1) == 0, at(i)) },
+			"drain":    func(i int) { v.Drain("x1", fmt.Sprint(i), at(i)) },
+			"lookup":   func(int) {},
+		}
+		for name, change := range changes {
+			b.Run(fmt.Sprintf("%s/instances=%d", name, size), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := range b.N {
+					change(i)
+					v.Owners("s1", at(i))
+				}
+			})
+		}
 	}
 }
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 )
@@ -147,6 +148,9 @@
 // and against a view without any owner.
 func TestDrainedInstance(t *testing.T) {
 	v := viewOf(fixture(2, 2))
+	if v.RankOf("s2", "i1", start) != 1 {
+		t.Error("the zone's only instance is not the first owner")
+	}
 	v.DrainInstance("i1", "a", start)
 	if v.RankOf("s2", "i1", start) != 0 || v.RankOf("s2", "i0", start) != 1 {
 		t.Error("a draining instance is owner")
@@ -159,3 +163,27 @@
 		t.Errorf("owned %v", owned)
 	}
 }
+
+// TestConcurrentUse guards against data races between readers and changes; it
+// has effect with the race detector.
+func TestConcurrentUse(t *testing.T) {
+	v := viewOf(fixture(9, 3))
+	var running sync.WaitGroup
+	for g := range 4 {
+		running.Go(func() {
+			for i := range 200 {
+				now := start.Add(time.Duration(i) * time.Second)
+				v.ReportCall("i1", i%7 == g, now)
+				v.Drain("s1", fmt.Sprint(i%5), now)
+				v.SeenIncarnation("s1", fmt.Sprint(i%3))
+				v.DrainInstance("i2", fmt.Sprint(i%5), now)
+				v.Apply(fixture(9, 3), int64(i/20))
+				if len(v.Owners("s1", now)) != 3 {
+					t.Error("no three owners")
+				}
+				v.Replicas("t", "s", 0, now)
+			}
+		})
+	}
+	running.Wait()
+}
