--- a/pkg/controlplane/wanted.go
+++ b/pkg/controlplane/wanted.go
@@ -45,22 +45,20 @@
 	return &wanted{wants: make(map[string]*want)}
 }
 
-// announce records that source holds the version.
+// announce records that source holds the version, which the store lacks.
 func (w *wanted) announce(v Version, source string, now time.Time) {
 	known, ok := w.wants[v.Key]
 	if !ok || v.Compare(known.version) > 0 {
 		known = &want{version: v, since: now}
 		w.wants[v.Key] = known
 	}
-	if v != known.version || len(known.sources) > 0 && known.sources[0] == source {
-		return
-	}
-	known.sources = slices.DeleteFunc(known.sources, func(s string) bool { return s == source })
-	if source == "" {
+	if source == "" || len(known.sources) > 0 && known.sources[0] == source {
 		return
 	}
 	// The latest announcement comes first: its sender is reachable now, while
-	// earlier ones may have been read late by a process that was paused.
+	// earlier ones may have been read late by a process that was paused. This
+	// holds for a lower version too: it may be the highest that can be reached.
+	known.sources = slices.DeleteFunc(known.sources, func(s string) bool { return s == source })
 	known.sources = slices.Insert(known.sources, 0, source)
 	known.sources = known.sources[:min(len(known.sources), maxFetchSources)]
 	known.earliest = time.Time{}
