--- a/pkg/controlplane/wanted.go
+++ b/pkg/controlplane/wanted.go
@@ -8,7 +8,7 @@
 const (
 	// fetchHedgeAfter is the time after which a second source is asked while a
 	// first one has not answered, so that a paused peer delays no change.
-	fetchHedgeAfter = 250 * time.Millisecond
+	fetchHedgeAfter = 150 * time.Millisecond
 	// fetchRetryDelay is the pause after all known sources have failed.
 	fetchRetryDelay = 100 * time.Millisecond
 	// wantedHold bounds the time for which an announced document is looked for.
@@ -45,20 +45,23 @@
 	return &wanted{wants: make(map[string]*want)}
 }
 
-// announce records that source holds the version.
+// announce records that source holds the version, which the store lacks.
 func (w *wanted) announce(v Version, source string, now time.Time) {
 	known, ok := w.wants[v.Key]
 	if !ok || v.Compare(known.version) > 0 {
 		known = &want{version: v, since: now}
 		w.wants[v.Key] = known
 	}
-	if v != known.version || slices.Contains(known.sources, source) {
+	if source == "" || len(known.sources) > 0 && known.sources[0] == source {
 		return
 	}
-	if source != "" && len(known.sources) < maxFetchSources {
-		known.sources = append(known.sources, source)
-		known.earliest = time.Time{}
-	}
+	// The latest announcement comes first: its sender is reachable now, while
+	// earlier ones may have been read late by a process that was paused. This
+	// holds for a lower version too: it may be the highest that can be reached.
+	known.sources = slices.DeleteFunc(known.sources, func(s string) bool { return s == source })
+	known.sources = slices.Insert(known.sources, 0, source)
+	known.sources = known.sources[:min(len(known.sources), maxFetchSources)]
+	known.earliest = time.Time{}
 }
 
 // claim returns the order to fetch key when one is due, and counts it as begun.
--- a/pkg/membership/roster.go
+++ b/pkg/membership/roster.go
@@ -15,9 +15,10 @@
 type roster struct {
 	revision  int64
 	instances []candidate // by id
+	listed    []Instance  // the same without hashes
 	byID      map[string]Instance
 	servers   map[string]BackendServer
-	shards    map[shardKey][]BackendServer // by replica
+	shards    map[shardKey][]BackendServer // by replica, without leaving ones
 }
 
 // newRoster indexes m. Entries are sorted, so that the order of the published
@@ -36,10 +37,16 @@
 		r.instances = append(r.instances, newCandidate(instance))
 	}
 	slices.SortFunc(r.instances, func(a, b candidate) int { return cmp.Compare(a.ID, b.ID) })
+	for _, c := range r.instances {
+		r.listed = append(r.listed, c.Instance)
+	}
 	for _, server := range m.BackendServers {
 		r.servers[server.ID] = server
 	}
 	for _, server := range r.servers {
+		if server.State == StateLeaving {
+			continue
+		}
 		key := shardKey{server.Team, server.Service, server.Shard}
 		r.shards[key] = append(r.shards[key], server)
 	}
