Test bundle, drain and bootstrap across processes

The process test now also publishes a bundle while an instance is paused (its first answer after resuming must be under the new bundle), replaces a killed instance while the configuration service is down, and sends requests to an instance that is leaving. The go command cached the result although the commands had changed, since it sees only the files that a test opens; the test now opens the source directories.

Seen failing: a completed ticket that runs again ("stored.Replayed" is false), no freshness check at the entry (bundle version 1 instead of 2 after the pause), no load balancer delay (503 from the leaving instance) and no seeds (not ready within the test's 40 s).

Requests to a closed instance now get the caller API's refusal, not plain text, and Config.Refuse is gone.

--- a/pkg/lifecycle/config.go
+++ b/pkg/lifecycle/config.go
@@ -1,9 +1,6 @@
 package lifecycle
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 const (
 	// DefaultLoadBalancerDelay is how long the platform's load balancer may
@@ -28,7 +25,4 @@
 	// OnDraining runs once, when readiness has failed and before the delay, for
 	// example to stop issuing tickets and to tell other instances. It may be nil.
 	OnDraining func()
-	// Refuse answers requests in the state Closed as not run. Without it they
-	// get status 503.
-	Refuse http.Handler
 }
--- a/pkg/lifecycle/handler.go
+++ b/pkg/lifecycle/handler.go
@@ -25,7 +25,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		state, ok := l.enter()
 		if !ok {
-			l.refuse(w, r)
+			refuse(w)
 			return
 		}
 		// Deferred, so that a panic of the handler leaves the count right.
@@ -33,12 +33,3 @@
 		serve(w, r, state)
 	})
 }
-
-func (l *Lifecycle) refuse(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Connection", "close")
-	if l.config.Refuse != nil {
-		l.config.Refuse.ServeHTTP(w, r)
-		return
-	}
-	http.Error(w, "the instance has shut down; the request was not run", http.StatusServiceUnavailable)
-}
--- a/pkg/lifecycle/lifecycle_test.go
+++ b/pkg/lifecycle/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -57,7 +58,9 @@
 		close(release)
 		assert.NilError(t, <-results)
 		assert.NilError(t, <-results)
-		assert.Equal(t, get(fast).Code, http.StatusServiceUnavailable)
+		refused := get(fast)
+		assert.Equal(t, refused.Code, http.StatusServiceUnavailable)
+		assert.Assert(t, json.Valid(refused.Body.Bytes()), refused.Body)
 		assert.Equal(t, m.InFlight(), 0)
 	})
 }
--- a/test/process/daemon_test.go
+++ b/test/process/daemon_test.go
@@ -17,6 +17,10 @@
 	"github.com/sycamorelift/sycamorelift/pkg/fleet"
 )
 
+// loadBalancerDelay exceeds the time until the fleet's load balancer notices
+// that an instance is not ready (0.5 s).
+const loadBalancerDelay = 2 * time.Second
+
 // readyTimeout bounds a health check, as a load balancer's does.
 const readyTimeout = 200 * time.Millisecond
 
@@ -27,9 +31,10 @@
 	http  http.Client
 }
 
-// startDaemon writes a settings file and starts the daemon with it.
-func startDaemon(t *testing.T, spec fleet.InstanceSpec) (*daemon, error) {
-	text, err := yaml.Marshal(settingsOf(spec))
+// startDaemon writes a settings file and starts the daemon with it. Seeds are
+// the peer addresses of instances to ask while the configuration service is down.
+func startDaemon(t *testing.T, spec fleet.InstanceSpec, seeds ...string) (*daemon, error) {
+	text, err := yaml.Marshal(settingsOf(spec, seeds))
 	if err != nil {
 		return nil, err
 	}
@@ -41,16 +46,20 @@
 	return &daemon{spec: spec, child: started, http: http.Client{Timeout: readyTimeout}}, nil
 }
 
-func settingsOf(spec fleet.InstanceSpec) map[string]any {
-	return map[string]any{
+func settingsOf(spec fleet.InstanceSpec, seeds []string) map[string]any {
+	settings := map[string]any{
 		"instance": map[string]string{"id": spec.ID, "zone": spec.Zone, "region": spec.Region},
 		"listen": map[string]string{
 			"caller": spec.CallerAddress, "peer": spec.PeerAddress, "operator": spec.OperatorAddress},
 		"config_service": map[string]string{"url": spec.ConfigURL},
 		"trust":          trustOf(spec.Trust),
 		"log":            map[string]string{"format": "text", "level": "info"},
-		"shutdown":       map[string]string{"load_balancer_delay": "1s", "drain_timeout": "30s"},
+		"shutdown":       map[string]string{"load_balancer_delay": loadBalancerDelay.String(), "drain_timeout": "30s"},
+	}
+	if len(seeds) > 0 {
+		settings["seeds"] = seeds
 	}
+	return settings
 }
 
 func trustOf(trust bundle.Trust) []map[string]any {
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -20,6 +20,8 @@
 	testTimeout   = 40 * time.Second
 	phaseRequests = 40
 	requestGap    = 20 * time.Millisecond
+	// bundleEffect is the time in which a bundle takes effect on every instance.
+	bundleEffect = 3 * time.Second
 )
 
 // run is one fleet under test.
@@ -38,17 +40,18 @@
 func TestProcessesUnderFaults(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
+	assert.NilError(t, noteSources())
 	r := startRun(ctx, t)
 	r.phase("no fault", func() {})
-	var left <-chan error
-	r.phase("instance stopped gracefully", func() { left = r.stopGracefully(1) })
-	assert.NilError(t, <-left)
+	r.stopGracefully(1)
 	r.phase("configuration service down", func() { r.platform.admin(http.MethodPost, "/faults/down", nil) })
+	r.restartFromPeers(2)
 	r.phase("configuration service back", func() { r.platform.admin(http.MethodPost, "/faults/up", nil) })
 	r.phase("backend server killed", func() { r.platform.servers["renewal-search-s00-r0"].kill() })
 	r.submissionWithPausedIssuer()
 	r.phase("instance paused", func() { r.daemons[0].child.signal(syscall.SIGSTOP) })
-	r.phase("instance resumed", func() { r.daemons[0].child.signal(syscall.SIGCONT) })
+	r.bundleWhilePaused(r.daemons[0])
+	r.phase("instance resumed", func() {})
 	r.phase("instance killed", func() { r.daemons[1].Kill() })
 	r.fleet.Audit.Finish()
 	assert.Equal(t, r.fleet.Audit.Total(), 0, "%v", r.fleet.Audit.Problems())
@@ -69,48 +72,77 @@
 }
 
 // phase applies a fault, sends requests and requires that the fault does not
-// keep most of them from an answer.
-func (r *run) phase(name string, fault func()) {
+// keep most of them from an answer. It returns all replies.
+func (r *run) phase(name string, fault func()) []fleet.Reply {
 	started := time.Now()
 	fault()
-	var mu sync.Mutex
-	outcomes := map[string]int{}
-	answered := 0
+	replies := make([]fleet.Reply, phaseRequests)
 	var group sync.WaitGroup
-	for range phaseRequests {
+	for n := range replies {
 		request := r.workload.Next()
-		group.Go(func() {
-			reply := r.fleet.Do(r.ctx, request)
-			mu.Lock()
-			defer mu.Unlock()
-			outcomes[string(reply.Outcome)+" "+reply.Reason]++
-			if reply.Outcome == fleet.Complete || reply.Outcome == fleet.Partial {
-				answered++
-			}
-		})
+		group.Go(func() { replies[n] = r.fleet.Do(r.ctx, request) })
 		time.Sleep(requestGap)
 	}
 	group.Wait()
+	outcomes := map[string]int{}
+	answered := 0
+	for _, reply := range replies {
+		outcomes[string(reply.Outcome)+" "+reply.Reason]++
+		if reply.Outcome == fleet.Complete || reply.Outcome == fleet.Partial {
+			answered++
+		}
+	}
 	r.t.Logf("%s: %v in %v", name, outcomes, time.Since(started).Round(time.Millisecond))
 	assert.Assert(r.t, answered > phaseRequests/2, "%s: %v", name, outcomes)
 	assert.Equal(r.t, r.fleet.Audit.Total(), 0, "%s: %v", name, r.fleet.Audit.Problems())
+	return replies
 }
 
-// stopGracefully lets an instance leave while requests arrive; its process must
-// end by itself and without an error.
-func (r *run) stopGracefully(n int) <-chan error {
-	left := make(chan error, 1)
+// stopGracefully lets an instance leave while requests arrive. Requests that
+// still reach it during the load balancer's delay are answered, no request needs
+// a second instance, and the process ends by itself and without an error.
+func (r *run) stopGracefully(n int) {
 	leaving := r.daemons[n]
 	r.daemons = slices.Delete(r.daemons, n, n+1)
+	left := make(chan error, 1)
 	go func() { left <- leaving.Shutdown(r.ctx) }()
-	return left
+	for leaving.Ready() {
+		assert.NilError(r.t, r.ctx.Err())
+	}
+	c := newCaller(r.t)
+	for sent := time.Now(); time.Since(sent) < loadBalancerDelay/2; {
+		assert.Equal(r.t, c.search(leaving).Status, http.StatusOK)
+	}
+	for _, reply := range r.phase("instance stops gracefully", func() {}) {
+		assert.Equal(r.t, reply.Tries, 1, "%+v", reply)
+		assert.Assert(r.t, reply.Outcome != fleet.Failed, "%+v", reply)
+	}
+	assert.NilError(r.t, <-left)
+}
+
+// restartFromPeers replaces a killed instance while the configuration service
+// is down: the new process must learn all documents from other instances.
+func (r *run) restartFromPeers(n int) {
+	killed := r.daemons[n]
+	killed.Kill()
+	spec := killed.spec
+	seeds := []string{r.daemons[0].spec.PeerAddress, r.daemons[1].spec.PeerAddress}
+	started, err := startDaemon(r.t, spec, seeds...)
+	assert.NilError(r.t, err)
+	r.daemons[n] = started
+	for !started.Ready() {
+		assert.NilError(r.t, r.ctx.Err(), "not ready: %s", started.child.log.tail())
+		time.Sleep(requestGap)
+	}
+	assert.Equal(r.t, newCaller(r.t).search(started).BundleVersion, r.fleet.BundleVersion())
+	r.phase("instance restarted without configuration service", func() {})
 }
 
 // submissionWithPausedIssuer resends one submission through other instances
 // while its issuer is paused, resumed and killed. It must run exactly once.
 func (r *run) submissionWithPausedIssuer() {
 	const key, payload = "aa-000001", "paused issuer"
-	s := newSubmitter(r.t)
+	s := newCaller(r.t)
 	issued := s.ticket(r.daemons[0], key)
 	issuer, others := r.split(issued.Issuer)
 	issuer.child.signal(syscall.SIGSTOP)
@@ -127,6 +159,22 @@
 	assert.Equal(r.t, r.fleet.Deployment.Runs.Payloads(submissions, payload), 1)
 }
 
+// bundleWhilePaused publishes a bundle while an instance is paused. Once the
+// bundle must be in effect everywhere, each instance decides under it, the
+// resumed one from its first answer on.
+func (r *run) bundleWhilePaused(paused *daemon) {
+	assert.NilError(r.t, r.fleet.PublishBundle())
+	r.platform.copyDocument(standin.KeyBundle)
+	time.Sleep(bundleEffect)
+	paused.child.signal(syscall.SIGCONT)
+	c := newCaller(r.t)
+	for _, entry := range append([]*daemon{paused}, r.daemons...) {
+		answer := c.search(entry)
+		assert.Equal(r.t, answer.Status, http.StatusOK, entry.spec.ID)
+		assert.Equal(r.t, answer.BundleVersion, r.fleet.BundleVersion(), entry.spec.ID)
+	}
+}
+
 // split returns the daemon of an id and the others.
 func (r *run) split(id string) (*daemon, []*daemon) {
 	n := slices.IndexFunc(r.daemons, func(d *daemon) bool { return d.spec.ID == id })
--- a/test/process/platform_test.go
+++ b/test/process/platform_test.go
@@ -32,12 +32,12 @@
 // platform is the simulated platform with the configuration service and some
 // backend servers as processes.
 type platform struct {
-	t        *testing.T
-	config   map[string]string // addresses of the configuration service
-	servers  map[string]*child // backend servers by id
-	listen   map[string]string // their addresses by id
-	daemons  map[string]*daemon
-	prepared bool
+	t       *testing.T
+	config  map[string]string // addresses of the configuration service
+	servers map[string]*child // backend servers by id
+	listen  map[string]string // their addresses by id
+	daemons map[string]*daemon
+	source  string // the fleet's own configuration service, set by the first start
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -57,9 +57,9 @@
 // start is the fleet's starter. The first call copies the control documents of
 // the fleet's own configuration service to the one in a process.
 func (p *platform) start(_ context.Context, spec fleet.InstanceSpec) (fleet.Instance, error) {
-	if !p.prepared {
-		p.copyDocuments(spec.ConfigURL)
-		p.prepared = true
+	if p.source == "" {
+		p.source = spec.ConfigURL
+		p.copyDocuments()
 	}
 	spec.ConfigURL = "http://" + p.config[configListen]
 	started, err := startDaemon(p.t, spec)
@@ -67,13 +67,12 @@
 	return started, err
 }
 
-func (p *platform) copyDocuments(from string) {
-	keys := []string{standin.KeyBundle, standin.IndexKey(team, searches), standin.IndexKey(team, submissions)}
-	for _, key := range keys {
-		p.publish(key, p.read(from, key))
-	}
+func (p *platform) copyDocuments() {
+	p.copyDocument(standin.KeyBundle)
+	p.copyDocument(standin.IndexKey(team, searches))
+	p.copyDocument(standin.IndexKey(team, submissions))
 	var members membership.Members
-	assert.NilError(p.t, json.Unmarshal(p.read(from, standin.KeyMembers), &members))
+	assert.NilError(p.t, json.Unmarshal(p.read(standin.KeyMembers), &members))
 	for n, server := range members.BackendServers {
 		if address, ok := p.listen[server.ID]; ok {
 			members.BackendServers[n].Address = address
@@ -84,8 +83,10 @@
 	p.publish(standin.KeyMembers, data)
 }
 
-func (p *platform) read(from, key string) []byte {
-	reply, err := http.Get(from + "/v1/keys/" + key)
+func (p *platform) copyDocument(key string) { p.publish(key, p.read(key)) }
+
+func (p *platform) read(key string) []byte {
+	reply, err := http.Get(p.source + "/v1/keys/" + key)
 	assert.NilError(p.t, err)
 	defer reply.Body.Close()
 	assert.Equal(p.t, reply.StatusCode, http.StatusOK, key)
