Let the process test follow the fleet's open listeners and add submissions

The fleet now opens each instance's listeners and starts instances together; the test's daemons failed to bind ("address already in use") after that merge. The starter closes the listeners, since the process opens its own, and is guarded against concurrent calls.

Every fourth request of a phase is now a submission, and a phase crashes each backend server for submissions.

--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -20,6 +21,10 @@
 	testTimeout   = 40 * time.Second
 	phaseRequests = 40
 	requestGap    = 20 * time.Millisecond
+	// submissionEvery spreads submissions over a phase.
+	submissionEvery = 4
+	// crashGap spreads three crashes and restarts over a phase.
+	crashGap = 150 * time.Millisecond
 	// bundleEffect is the time in which a bundle takes effect on every instance.
 	bundleEffect = 3 * time.Second
 )
@@ -32,6 +37,8 @@
 	fleet    *fleet.Fleet
 	workload *fleet.Workload
 	daemons  []*daemon // by id
+	// submitted counts the submissions beyond the workload's own.
+	submitted int
 }
 
 // Guards against every broken invariant when processes are killed, paused and
@@ -48,6 +55,7 @@
 	r.restartFromPeers(2)
 	r.phase("configuration service back", func() { r.platform.admin(http.MethodPost, "/faults/up", nil) })
 	r.phase("backend server killed", func() { r.platform.servers["renewal-search-s00-r0"].kill() })
+	r.phase("submission servers crash", r.crashSubmissionServers)
 	r.submissionWithPausedIssuer()
 	r.phase("instance paused", func() { r.daemons[0].child.signal(syscall.SIGSTOP) })
 	r.bundleWhilePaused(r.daemons[0])
@@ -79,7 +87,7 @@
 	replies := make([]fleet.Reply, phaseRequests)
 	var group sync.WaitGroup
 	for n := range replies {
-		request := r.workload.Next()
+		request := r.request(n)
 		group.Go(func() { replies[n] = r.fleet.Do(r.ctx, request) })
 		time.Sleep(requestGap)
 	}
@@ -98,6 +106,26 @@
 	return replies
 }
 
+// request returns the next request of a phase. Every submissionEvery-th one is a
+// submission, far more than in the callers' own mix.
+func (r *run) request(n int) fleet.Request {
+	request := r.workload.Next()
+	if n%submissionEvery != 0 || request.Submission() {
+		return request
+	}
+	r.submitted++
+	payload := fmt.Sprint("extra submission ", r.submitted)
+	return fleet.Request{Class: submittingClass(), Service: submissions, Key: "aa-000001", Payload: payload, Draw: request.Draw}
+}
+
+// crashSubmissionServers crashes each backend server for submissions in turn,
+// with the submissions that it runs.
+func (r *run) crashSubmissionServers() {
+	for n, server := range r.fleet.Deployment.ServersOf(submissions) {
+		time.AfterFunc(time.Duration(n+1)*crashGap, func() { server.Crash(crashGap) })
+	}
+}
+
 // stopGracefully lets an instance leave while requests arrive. Requests that
 // still reach it during the load balancer's delay are answered, no request needs
 // a second instance, and the process ends by itself and without an error.
--- a/test/process/platform_test.go
+++ b/test/process/platform_test.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,8 +38,10 @@
 	config  map[string]string // addresses of the configuration service
 	servers map[string]*child // backend servers by id
 	listen  map[string]string // their addresses by id
-	daemons map[string]*daemon
-	source  string // the fleet's own configuration service, set by the first start
+
+	mu      sync.Mutex         // guards the fields below during the concurrent starts
+	daemons map[string]*daemon // by id
+	source  string             // the fleet's own configuration service, set by the first start
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -57,11 +61,17 @@
 // start is the fleet's starter. The first call copies the control documents of
 // the fleet's own configuration service to the one in a process.
 func (p *platform) start(_ context.Context, spec fleet.InstanceSpec) (fleet.Instance, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.source == "" {
 		p.source = spec.ConfigURL
 		p.copyDocuments()
 	}
 	spec.ConfigURL = "http://" + p.config[configListen]
+	// The process opens the listeners itself.
+	for _, listener := range []net.Listener{spec.Listeners.Caller, spec.Listeners.Peer, spec.Listeners.Operator} {
+		assert.Check(p.t, listener.Close())
+	}
 	started, err := startDaemon(p.t, spec)
 	p.daemons[spec.ID] = started
 	return started, err
