Test that a leaving issuer serves its live ticket

A ticket can be redeemed only at its issuer, so an instance that leaves must wait for it. The process test now takes a ticket, lets its issuer leave and redeems after the load balancer's delay.

--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -50,7 +50,7 @@
 	assert.NilError(t, noteSources())
 	r := startRun(ctx, t)
 	r.phase("no fault", func() {})
-	r.stopGracefully(1)
+	r.stopGracefully()
 	r.phase("configuration service down", func() { r.platform.admin(http.MethodPost, "/faults/down", nil) })
 	r.restartFromPeers(2)
 	r.phase("configuration service back", func() { r.platform.admin(http.MethodPost, "/faults/up", nil) })
@@ -128,23 +128,29 @@
 
 // stopGracefully lets an instance leave while requests arrive. Requests that
 // still reach it during the load balancer's delay are answered, no request needs
-// a second instance, and the process ends by itself and without an error.
-func (r *run) stopGracefully(n int) {
-	leaving := r.daemons[n]
-	r.daemons = slices.Delete(r.daemons, n, n+1)
+// a second instance, a ticket that only the leaving instance can redeem is
+// redeemed, and the process ends by itself and without an error.
+func (r *run) stopGracefully() {
+	const key, payload = "aa-000001", "leaving issuer"
+	c := newCaller(r.t)
+	issued := c.ticket(r.daemons[0], key)
+	leaving, others := r.split(issued.Issuer)
+	r.daemons = others
 	left := make(chan error, 1)
 	go func() { left <- leaving.Shutdown(r.ctx) }()
 	for leaving.Ready() {
 		assert.NilError(r.t, r.ctx.Err())
 	}
-	c := newCaller(r.t)
-	for sent := time.Now(); time.Since(sent) < loadBalancerDelay/2; {
+	started := time.Now()
+	for time.Since(started) < loadBalancerDelay/2 {
 		assert.Equal(r.t, c.search(leaving).Status, http.StatusOK)
 	}
 	for _, reply := range r.phase("instance stops gracefully", func() {}) {
 		assert.Equal(r.t, reply.Tries, 1, "%+v", reply)
 		assert.Assert(r.t, reply.Outcome != fleet.Failed, "%+v", reply)
 	}
+	time.Sleep(time.Until(started.Add(loadBalancerDelay * 3 / 2)))
+	assert.Equal(r.t, c.submit(others[0], issued.Ticket, key, payload).Run, "run")
 	assert.NilError(r.t, <-left)
 }
 
