--- a/pkg/admission/oracle_test.go
+++ b/pkg/admission/oracle_test.go
@@ -187,7 +187,7 @@
 		m.queue.bound = rapid.IntRange(1, 8).Draw(t, "bound")
 		m.oracle.limit, m.oracle.bound = slots, m.queue.bound
 		t.Repeat(map[string]func(*rapid.T){
-			"enter":   m.enter,
+			"enter": m.enter,
 			"burst": func(t *rapid.T) {
 				for range 10 {
 					m.enter(t)
--- a/pkg/crashguard/fingerprint.go
+++ b/pkg/crashguard/fingerprint.go
@@ -1,9 +1,13 @@
 package crashguard
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
 )
 
 // Fingerprint identifies a request by its content, whichever caller or
@@ -16,7 +20,7 @@
 		_, _ = digest.Write(length[:])
 		_, _ = digest.WriteString(part)
 	}
-	return digest.Sum64()
+	return max(digest.Sum64(), 1) // 0 is reserved, see Report
 }
 
 // canaryShard returns the shard with the greatest hash of fingerprint and
@@ -26,13 +30,26 @@
 	best := -1
 	var bestHash uint64
 	for _, shard := range shards {
-		var key [16]byte
-		binary.LittleEndian.PutUint64(key[:8], fingerprint)
-		binary.LittleEndian.PutUint64(key[8:], uint64(shard))
-		hash := xxhash.Sum64(key[:])
+		hash := mix(fingerprint, uint64(shard))
 		if best < 0 || hash > bestHash {
 			best, bestHash = shard, hash
 		}
 	}
 	return best
 }
+
+func canaryReplicas(fingerprint uint64, replicas []membership.BackendServer) []membership.BackendServer {
+	ordered := slices.Clone(replicas)
+	slices.SortFunc(ordered, func(a, b membership.BackendServer) int {
+		hashes := cmp.Compare(mix(fingerprint, xxhash.Sum64String(b.ID)), mix(fingerprint, xxhash.Sum64String(a.ID)))
+		return cmp.Or(hashes, cmp.Compare(a.ID, b.ID))
+	})
+	return ordered
+}
+
+func mix(fingerprint, part uint64) uint64 {
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], fingerprint)
+	binary.LittleEndian.PutUint64(key[8:], part)
+	return xxhash.Sum64(key[:])
+}
--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -81,12 +81,7 @@
 // End records the outcome of an attempt that Begin announced.
 func (g *Guard) End(fingerprint uint64, serverID string, result Outcome, now time.Time) {
 	reports, notify := g.end(fingerprint, serverID, result, now)
-	if notify == nil {
-		return
-	}
-	for _, report := range reports {
-		notify(report)
-	}
+	send(reports, notify)
 }
 
 func (g *Guard) end(fingerprint uint64, serverID string, result Outcome, now time.Time) ([]Report, func(Report)) {
--- a/pkg/crashguard/limits.go
+++ b/pkg/crashguard/limits.go
@@ -16,6 +16,19 @@
 	// age, which is uncertain by the transfer time.
 	sameCrashWindow = 2 * time.Second
 
+	// singleDomainFactor is how many times the limit counts within one failure
+	// domain.
+	singleDomainFactor = 2
+	// lossReportSpacing bounds the reports without a request: two per zone and
+	// spacing. Two are needed to explain any crash of the zone, since one may
+	// concern the crashed server itself.
+	lossReportSpacing  = CorrelationWindow / 4
+	lossReportsPerZone = 2
+	// reportedWindow replaces CorrelationWindow for losses that others report.
+	// It makes up for the spacing: whatever a loss explains at its observer is
+	// also explained by one that the observer has reported.
+	reportedWindow = CorrelationWindow + lossReportSpacing
+
 	// Bounds of memory. The oldest entries are dropped first.
 	maxSuspects          = 4096
 	maxCrashesPerSuspect = 16
--- a/pkg/crashguard/losses.go
+++ b/pkg/crashguard/losses.go
@@ -9,6 +9,15 @@
 	zone     string
 	at       time.Time
 	running  map[uint64]struct{}
+	learned  bool // from another instance's report
+	reported bool // to other instances, without a request
+}
+
+func (l *loss) window() time.Duration {
+	if l.learned {
+		return reportedWindow
+	}
+	return CorrelationWindow
 }
 
 // losses is the bounded history of outages, oldest first, and the newest
@@ -35,11 +44,24 @@
 
 // unreachable records an outage that no attempt has observed. Failed calls to a
 // server that is known to be down, for example while it restarts, are no new
-// outage and must not explain crashes.
-func (l *losses) unreachable(serverID, zone string, now time.Time) {
-	if !l.down[serverID] {
-		l.add(serverID, zone, now)
+// outage and must not explain crashes. It returns nil then.
+func (l *losses) unreachable(serverID, zone string, now time.Time) *loss {
+	if l.down[serverID] {
+		return nil
 	}
+	return l.add(serverID, zone, now)
+}
+
+// mayReport reports whether other instances need to hear of another outage of
+// the zone.
+func (l *losses) mayReport(zone string, now time.Time) bool {
+	reports := 0
+	for _, known := range l.history {
+		if known.reported && known.zone == zone && within(known.at, now, lossReportSpacing) {
+			reports++
+		}
+	}
+	return reports < lossReportsPerZone
 }
 
 // reported returns the outage that another instance has observed.
@@ -50,7 +72,9 @@
 			return known
 		}
 	}
-	return l.add(serverID, zone, at)
+	added := l.add(serverID, zone, at)
+	added.learned = true
+	return added
 }
 
 func (l *losses) add(serverID, zone string, at time.Time) *loss {
@@ -83,7 +107,7 @@
 // another server of the zone was lost at about the same time without it.
 func (l *losses) explain(fingerprint uint64, c crash) bool {
 	for _, other := range l.history {
-		if other.serverID == c.serverID || other.zone != c.zone || !within(other.at, c.at, CorrelationWindow) {
+		if other.serverID == c.serverID || other.zone != c.zone || !within(other.at, c.at, other.window()) {
 			continue
 		}
 		if _, ran := other.running[fingerprint]; !ran {
--- a/pkg/crashguard/report.go
+++ b/pkg/crashguard/report.go
@@ -3,7 +3,9 @@
 import "time"
 
 // Report states that a request was in flight on a backend server when the
-// server crashed. Reports are sent to other instances.
+// server crashed. Reports are sent to other instances. Fingerprint 0 states that
+// a server was lost without a request that may have caused it; other instances
+// need it to recognise a correlated loss.
 type Report struct {
 	Fingerprint uint64
 	ServerID    string
--- a/pkg/crashguard/suspicion.go
+++ b/pkg/crashguard/suspicion.go
@@ -9,17 +9,48 @@
 // Lost records that a backend server was found unreachable without a running
 // request. Such a loss can explain crashes in the same zone.
 func (g *Guard) Lost(server membership.BackendServer, now time.Time) {
+	g.mu.Lock()
+	reports := g.lossReportLocked(g.losses.unreachable(server.ID, server.Zone, now))
+	notify := g.onReport
+	g.mu.Unlock()
+	send(reports, notify)
+}
+
+// Alive records that a backend server has replied, whether or not it ran the
+// request. OutcomeOK implies it.
+func (g *Guard) Alive(serverID string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.losses.unreachable(server.ID, server.Zone, now)
+	g.losses.up(serverID)
+}
+
+// lossReportLocked returns the report of a loss that no request is blamed for.
+func (g *Guard) lossReportLocked(lost *loss) []Report {
+	if lost == nil || !g.losses.mayReport(lost.zone, lost.at) {
+		return nil
+	}
+	lost.reported = true
+	return []Report{{ServerID: lost.serverID, Zone: lost.zone, Observed: lost.at}}
+}
+
+func send(reports []Report, notify func(Report)) {
+	if notify == nil {
+		return
+	}
+	for _, report := range reports {
+		notify(report)
+	}
 }
 
-// Learn adds a report of another instance. Observed is in this instance's
+// Learn adds a report of another instance, see Report. Observed is in this instance's
 // clock.
 func (g *Guard) Learn(fingerprint uint64, serverID, zone string, observed time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lost := g.losses.reported(serverID, zone, observed)
+	if fingerprint == 0 {
+		return
+	}
 	lost.running[fingerprint] = struct{}{}
 	if g.good.succeededSince(fingerprint, observed) {
 		return
@@ -49,6 +80,12 @@
 	return canaryShard(fingerprint, shards)
 }
 
+// CanaryReplicas returns the replicas of the canary shard in the order in which
+// all instances try them.
+func (g *Guard) CanaryReplicas(fingerprint uint64, replicas []membership.BackendServer) []membership.BackendServer {
+	return canaryReplicas(fingerprint, replicas)
+}
+
 func (g *Guard) markGoodLocked(fingerprint uint64, now time.Time) {
 	g.good.add(fingerprint, now)
 	if _, ok := g.suspects[fingerprint]; ok {
--- a/pkg/crashguard/verdict.go
+++ b/pkg/crashguard/verdict.go
@@ -6,10 +6,15 @@
 	domains int // failure domains among them
 }
 
-// reaches reports whether the crashes suffice for quarantine. With a limit of
-// two or more they must lie in different failure domains, since one broken
-// server or rack may fail repeatedly.
+// reaches reports whether the crashes suffice for quarantine. They must lie in
+// different failure domains, since one broken server or rack may fail
+// repeatedly. Crashes in a single domain suffice when there are
+// singleDomainFactor times as many: while the other zones are down, all
+// attempts of a poison request reach the same domain.
 func (v verdict) reaches(limit int) bool {
+	if v.crashes >= singleDomainFactor*limit {
+		return true
+	}
 	return v.crashes >= limit && (limit == 1 || v.domains >= 2)
 }
 
