Test replica selection and correct its ejections

The tests found three faults. Replicas ejected until the same time were chosen at random, so that Order and Ejected disagreed; ties now go by id. Slow but successful attempts reset the ejection time, so that it never grew. Attempts cut short by a hedge did not count as samples when their bound was below the average, so that a replica that only shows slowness in them stayed.

--- a/pkg/selection/average.go
+++ b/pkg/selection/average.go
@@ -27,7 +27,9 @@
 func (a *average) recordAtLeast(bound time.Duration) {
 	if bound > a.value {
 		a.record(bound)
+		return
 	}
+	a.samples++
 }
 
 // decay is the weight that remains of an observation after some time.
--- a/pkg/selection/order.go
+++ b/pkg/selection/order.go
@@ -95,7 +95,7 @@
 // byEjectionEnd puts the longest ejections first and leaves the rest in order.
 func byEjectionEnd(a, b candidate) int {
 	if a.ejected && b.ejected {
-		return b.server.ejection.until.Compare(a.server.ejection.until)
+		return cmp.Or(b.server.ejection.until.Compare(a.server.ejection.until), cmp.Compare(a.replica.ID, b.replica.ID))
 	}
 	if a.ejected == b.ejected {
 		return 0
--- /dev/null
+++ b/pkg/selection/rules_test.go
@@ -0,0 +1,148 @@
+package selection
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+const ok = peerpb.ResultStatus_OK
+
+func want[T comparable](t *testing.T, name string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", name, got, want)
+	}
+}
+
+// warm gives three shards of two replicas the same latency.
+func warm(s *Selector) (shards [3][]membership.BackendServer, all []string) {
+	for i := range shards {
+		shards[i] = shard(i, 2)
+		s.Order(epoch, shards[i], "z")
+		for _, server := range shards[i] {
+			all = append(all, server.ID)
+		}
+	}
+	for range 20 {
+		for _, id := range all {
+			observe(s, id, 10*time.Millisecond, ok, epoch)
+		}
+	}
+	return shards, all
+}
+
+// Guards against a slow replica that keeps its share of first attempts, and
+// against an ejection that does not grow, never ends or ignores slowness that
+// only shows in attempts which a hedge cut short.
+func TestSlowReplicaIsEjectedForGrowingTime(t *testing.T) {
+	for _, status := range []peerpb.ResultStatus{ok, peerpb.ResultStatus_RESULT_STATUS_UNSPECIFIED} {
+		s, now := newSelector(), epoch
+		shards, _ := warm(s)
+		for _, duration := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+			for range 2 * healthySuccesses {
+				observe(s, "0-0", 100*time.Millisecond, status, now)
+			}
+			want(t, "ejected", len(s.Ejected(now.Add(duration-1), shards[0])), 1)
+			now = now.Add(duration)
+			want(t, "ejected afterwards", len(s.Ejected(now, shards[0])), 0)
+		}
+	}
+}
+
+// Guards against ejecting replicas for a slowdown of the whole service.
+func TestCommonSlowdownEjectsNothing(t *testing.T) {
+	s := newSelector()
+	shards, all := warm(s)
+	for i := range 40 {
+		for _, id := range all {
+			observe(s, id, 200*time.Millisecond, ok, epoch.Add(time.Duration(i)*100*time.Millisecond))
+		}
+	}
+	for _, replicas := range shards {
+		want(t, "ejected", len(s.Ejected(epoch.Add(4*time.Second), replicas)), 0)
+	}
+}
+
+// Guards against preferring a replica that is loaded, slow or in another zone,
+// and against a replica that is never tried again after it was slow once.
+func TestOrderPrefersFastIdleAndLocal(t *testing.T) {
+	s := newSelector()
+	shards, _ := warm(s)
+	first := func(now time.Time, zone string) string { return s.Order(now, shards[0], zone)[0].ID }
+	s.Begin("0-0")
+	for range 20 {
+		want(t, "idle first", first(epoch, "z"), "0-1")
+	}
+	s.Done(Observation{ServerID: "0-0", Service: testService, Latency: 30 * time.Millisecond, Status: ok}, epoch)
+	want(t, "fast first", first(epoch, "z"), "0-1")
+	shards[0][1].Zone = "elsewhere"
+	want(t, "fast although remote", first(epoch, "z"), "0-1")
+	want(t, "local when the slow observation is old", first(epoch.Add(time.Minute), "z"), "0-0")
+}
+
+// Guards against sending all first attempts to the best of many replicas: the
+// worst one is never first, but more than one is.
+func TestPowerOfTwoChoices(t *testing.T) {
+	s := newSelector()
+	replicas := shard(0, 4)
+	s.Order(epoch, replicas, "z")
+	for i, server := range replicas {
+		observe(s, server.ID, time.Duration(i+1)*10*time.Millisecond, ok, epoch)
+	}
+	counts := make(map[string]int)
+	for range 600 {
+		counts[s.Order(epoch, replicas, "z")[0].ID]++
+	}
+	want(t, "worst", counts["0-3"], 0)
+	want(t, "all but the worst", len(counts), 3)
+	want(t, "best about half", counts["0-0"] > 250 && counts["0-0"] < 350, true)
+}
+
+// Guards against a hedge delay that falls because the attempts it cuts short
+// are missing, that is based on too little, or that outlives its window.
+func TestHedgeDelay(t *testing.T) {
+	s := newSelector()
+	s.Order(epoch, shard(0, 2), "z")
+	for i := range 100 {
+		latency, status := 10*time.Millisecond, ok
+		if i%10 == 0 {
+			latency, status = 50*time.Millisecond, peerpb.ResultStatus_RESULT_STATUS_UNSPECIFIED
+		}
+		observe(s, "0-0", latency, status, epoch)
+		if _, known := s.HedgeDelay(testService, 0.95); known != (i+1 >= minSamples) {
+			t.Fatalf("known %v after %d samples", known, i+1)
+		}
+	}
+	observe(s, "0-0", 10*time.Millisecond, ok, epoch.Add(refreshTime))
+	delay, _ := s.HedgeDelay(testService, 0.95)
+	want(t, "p95 near 50 ms", delay > 45*time.Millisecond && delay < 55*time.Millisecond, true)
+	for range minSamples {
+		observe(s, "0-0", time.Millisecond, ok, epoch.Add(time.Minute))
+	}
+	delay, _ = s.HedgeDelay(testService, 0.95)
+	want(t, "p95 after the window", delay < 2*time.Millisecond, true)
+}
+
+// Guards against hedges that add to an overload, and against an overload that
+// is reported for ever once attempts stop.
+func TestOverloadStopsHedges(t *testing.T) {
+	queued := Observation{ServerID: "0-0", Service: testService, Latency: 40 * time.Millisecond, Queue: 30 * time.Millisecond, Status: ok}
+	shed := Observation{ServerID: "0-0", Service: testService, Status: peerpb.ResultStatus_SHED}
+	for name, cause := range map[string]Observation{"queue": queued, "shed": shed} {
+		s := newSelector()
+		warm(s)
+		want(t, "hedge before", s.AllowHedge(testService, 0.1), true)
+		want(t, "overloaded before", s.Overloaded(testService, epoch), false)
+		for range 400 {
+			s.Done(cause, epoch)
+		}
+		want(t, name+" overloads", s.Overloaded(testService, epoch), true)
+		want(t, "hedge during overload", s.AllowHedge(testService, 0.1), false)
+		observe(s, "0-0", 10*time.Millisecond, ok, epoch.Add(time.Minute))
+		want(t, "hedge later", s.AllowHedge(testService, 0.1), true)
+		want(t, "overloaded later", s.Overloaded(testService, epoch.Add(time.Minute)), false)
+	}
+}
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -55,34 +55,21 @@
 }
 
 func (s *Selector) observeLocked(server *server, o Observation, now time.Time) {
-	switch o.effect() {
-	case effectOK:
-		server.observed = now
-		server.latency.record(o.Latency)
-		server.work.record(o.serviceTime())
-		server.service.latencies.record(o.Latency, now)
-		server.service.work.record(o.serviceTime(), now)
-		server.ejection.succeed()
-	case effectAtLeast:
-		server.observed = now
-		server.latency.recordAtLeast(o.Latency)
-		server.work.recordAtLeast(o.serviceTime())
-		// Without the attempts that were cut short, the measured quantile
-		// would fall with every hedge that it starts.
-		server.service.latencies.record(o.Latency, now)
-	case effectShed:
-		server.observed = now
-	case effectFailed:
-		server.observed = now
+	effect := o.effect()
+	if effect == effectNone {
+		return
+	}
+	server.observed = now
+	server.record(o, now)
+	switch {
+	case effect == effectFailed:
 		if server.ejection.fail(s.config.Failures) {
 			s.ejectLocked(server, now)
 		}
-		return
-	default:
-		return
-	}
-	if server.service.isSlow(server, s.config) {
+	case server.service.isSlow(server, s.config):
 		s.ejectLocked(server, now)
+	case effect == effectOK:
+		server.ejection.succeed()
 	}
 }
 
--- a/pkg/selection/server.go
+++ b/pkg/selection/server.go
@@ -32,3 +32,20 @@
 	}
 	return max(base, 1) * float64(s.inFlight+1)
 }
+
+// record adds the latency of an observation to the replica and its service.
+func (s *server) record(o Observation, now time.Time) {
+	switch o.effect() {
+	case effectOK:
+		s.latency.record(o.Latency)
+		s.work.record(o.serviceTime())
+		s.service.latencies.record(o.Latency, now)
+		s.service.work.record(o.serviceTime(), now)
+	case effectAtLeast:
+		s.latency.recordAtLeast(o.Latency)
+		s.work.recordAtLeast(o.serviceTime())
+		// Without the attempts that were cut short, the measured quantile
+		// would fall with every hedge that it starts.
+		s.service.latencies.record(o.Latency, now)
+	}
+}
