--- a/pkg/backend/check_test.go
+++ b/pkg/backend/check_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-func noError(t *testing.T, err error) {
+func noError(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatalf("unexpected error: %v", err)
--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -8,7 +8,10 @@
 	"time"
 )
 
-const readBufferBytes = 4 << 10
+const (
+	readBufferBytes  = 4 << 10
+	writeBufferBytes = 4 << 10
+)
 
 var errReplyTooLarge = errors.New("reply exceeds the size limit")
 
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -9,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -56,7 +58,7 @@
 	conn.begin(progress, deadline, p.opts.MaxReplyBytes)
 	stop := context.AfterFunc(ctx, conn.close)
 	defer stop()
-	if err := req.Write(conn); err != nil {
+	if err := writeRequest(conn, req); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(conn.reader, req)
@@ -73,6 +75,23 @@
 	return &reply{status: resp.StatusCode, state: parseServerState(resp.Header), body: body, close: resp.Close}, nil
 }
 
+// writers holds buffers for requests. Request.Write would allocate one for each
+// request, and one per connection would remain in use while it is idle.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
+func writeRequest(conn *connection, req *http.Request) error {
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(conn)
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
 // classify turns a failure after the first byte may have been written into a
 // CallError. The run state is unknown in every case.
 func classify(ctx context.Context, conn *connection, err error) *CallError {
--- a/pkg/backend/fake_test.go
+++ b/pkg/backend/fake_test.go
@@ -31,7 +31,7 @@
 	return poolFor(t, strings.TrimPrefix(server.URL, "http://"), opts)
 }
 
-func poolFor(t *testing.T, address string, opts Options) *Pool {
+func poolFor(t testing.TB, address string, opts Options) *Pool {
 	t.Helper()
 	if opts.Connections == 0 {
 		opts.Connections = 2
--- a/pkg/backend/raw_test.go
+++ b/pkg/backend/raw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,7 +18,7 @@
 	requests atomic.Int32
 }
 
-func newRawServer(t *testing.T, handle func(conn net.Conn, n int32, r *http.Request) bool) *rawServer {
+func newRawServer(t testing.TB, handle func(conn net.Conn, n int32, r *http.Request) bool) *rawServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	noError(t, err)
@@ -27,7 +28,7 @@
 	return s
 }
 
-func (s *rawServer) accept(t *testing.T, handle func(net.Conn, int32, *http.Request) bool) {
+func (s *rawServer) accept(t testing.TB, handle func(net.Conn, int32, *http.Request) bool) {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -46,9 +47,8 @@
 		if err != nil {
 			return
 		}
-		var body [64 << 10]byte
-		for err == nil {
-			_, err = r.Body.Read(body[:])
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
 		}
 		if !handle(conn, s.requests.Add(1), r) {
 			return
--- a/pkg/selection/order.go
+++ b/pkg/selection/order.go
@@ -10,7 +10,7 @@
 
 // candidate is one replica during the ordering.
 type candidate struct {
-	replica membership.BackendServer
+	index   int // in the replicas that were passed in
 	server  *server
 	score   float64 // expected latency; lower is better
 	ejected bool
@@ -37,7 +37,7 @@
 	s.preferOneOfTwoLocked(candidates)
 	ordered := make([]membership.BackendServer, len(candidates))
 	for i, c := range candidates {
-		ordered[i] = c.replica
+		ordered[i] = replicas[c.index]
 	}
 	return ordered
 }
@@ -52,23 +52,28 @@
 	var ids []string
 	for _, c := range candidates {
 		if c.ejected {
-			ids = append(ids, c.replica.ID)
+			ids = append(ids, c.server.id)
 		}
 	}
 	return ids
 }
 
+// candidatesLocked fills the scratch space, which is valid until the next call.
 func (s *Selector) candidatesLocked(now time.Time, replicas []membership.BackendServer, localZone string) []candidate {
-	candidates := make([]candidate, len(replicas))
-	for i, replica := range replicas {
-		known := s.serverLocked(replica, now)
-		neutral, _ := known.service.latencies.quantile(0.5)
+	candidates := s.scratch[:0]
+	var neutral time.Duration
+	for i := range replicas {
+		known := s.serverLocked(&replicas[i], now)
+		if i == 0 {
+			neutral, _ = known.service.latencies.quantile(0.5)
+		}
 		score := known.expected(neutral, now)
-		if replica.Zone != localZone {
+		if replicas[i].Zone != localZone {
 			score *= s.config.RemoteFactor
 		}
-		candidates[i] = candidate{replica: replica, server: known, score: score, ejected: known.ejection.active(now)}
+		candidates = append(candidates, candidate{index: i, server: known, score: score, ejected: known.ejection.active(now)})
 	}
+	s.scratch = candidates
 	// Equal replicas must not all be chosen in the order of the list.
 	s.random.Shuffle(len(candidates), func(i, j int) {
 		candidates[i], candidates[j] = candidates[j], candidates[i]
@@ -95,7 +100,7 @@
 // byEjectionEnd puts the longest ejections first and leaves the rest in order.
 func byEjectionEnd(a, b candidate) int {
 	if a.ejected && b.ejected {
-		return cmp.Or(b.server.ejection.until.Compare(a.server.ejection.until), cmp.Compare(a.replica.ID, b.replica.ID))
+		return cmp.Or(b.server.ejection.until.Compare(a.server.ejection.until), cmp.Compare(a.server.id, b.server.id))
 	}
 	if a.ejected == b.ejected {
 		return 0
@@ -140,11 +145,11 @@
 }
 
 // serverLocked returns the state of a replica and notes that it is in use.
-func (s *Selector) serverLocked(replica membership.BackendServer, now time.Time) *server {
+func (s *Selector) serverLocked(replica *membership.BackendServer, now time.Time) *server {
 	known := s.servers[replica.ID]
 	if known == nil {
 		key := ServiceKey(replica.Team, replica.Service)
-		known = &server{service: s.serviceLocked(key, now)}
+		known = &server{id: replica.ID, service: s.serviceLocked(key, now)}
 		s.servers[replica.ID] = known
 		known.service.servers[replica.ID] = known
 	}
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -15,6 +15,7 @@
 	random   *rand.Rand
 	services map[string]*service
 	servers  map[string]*server
+	scratch  []candidate // reused by each ordering
 }
 
 // New returns a selector that knows nothing. It takes over random.
--- a/pkg/selection/server.go
+++ b/pkg/selection/server.go
@@ -12,6 +12,7 @@
 
 // server is what is known of one replica.
 type server struct {
+	id       string
 	service  *service
 	inFlight int
 	latency  average // of attempts, queue included
