Shorten the tests of backend pools and cover TLS

One raw stand-in replaces three kinds of fakes; no check was dropped. New: TLS 1.3 connections are verified and reused, although session tickets arrive on the socket outside of replies.

--- a/pkg/backend/bench_test.go
+++ b/pkg/backend/bench_test.go
@@ -7,51 +7,28 @@
 	"testing"
 )
 
-// BenchmarkSearch is one search over a reused loopback connection.
+// BenchmarkSearch is one search over a reused loopback connection, with the
+// heap of an idle connection (both ends) as an extra figure.
 func BenchmarkSearch(b *testing.B) {
-	server := newRawServer(b, func(conn net.Conn, _ int32, _ *http.Request) bool {
-		_, err := conn.Write([]byte(rawReply(echo(nil))))
-		return err == nil
-	})
-	pool := poolFor(b, server.address(), Options{})
-	b.ReportAllocs()
+	const connections = 200
+	server := newRawServer(b, func(net.Conn, int32, *http.Request) (string, bool) { return echo("documents", 9), false })
+	pool := poolFor(b, server.address(), Options{Connections: connections})
 	for b.Loop() {
 		if _, err := pool.Search(b.Context(), testCall); err != nil {
 			b.Fatal(err)
 		}
 	}
+	before, dialled := heap(), [connections]*connection{}
+	for i := range dialled {
+		dialled[i], _ = pool.acquire(b.Context(), true)
+	}
+	b.ReportMetric(float64(heap()-before)/connections, "B/connection")
+	runtime.KeepAlive(dialled)
 }
 
-// BenchmarkConnectionMemory reports the client's heap of one idle connection.
-// The server side only accepts.
-func BenchmarkConnectionMemory(b *testing.B) {
-	const connections = 200
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer listener.Close()
-	pool := poolFor(b, listener.Addr().String(), Options{Connections: connections})
-	var before, after runtime.MemStats
-	for b.Loop() {
-		accepted := make([]net.Conn, connections)
-		dialled := make([]*connection, connections)
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		for i := range dialled {
-			if dialled[i], err = pool.acquire(b.Context(), true); err != nil {
-				b.Fatal(err)
-			}
-			if accepted[i], err = listener.Accept(); err != nil {
-				b.Fatal(err)
-			}
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/connections, "B/connection")
-		for i, conn := range dialled {
-			pool.discard(conn)
-			_ = accepted[i].Close()
-		}
-	}
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
 }
--- /dev/null
+++ b/pkg/backend/helpers_test.go
@@ -0,0 +1,144 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+const (
+	testTimeout = 5 * time.Second // only ends a test that hangs
+	unknown     = peerpb.RunState_RUN_STATE_UNKNOWN
+	noRun       = peerpb.RunState_RUN_STATE_NOT_RUN
+)
+
+var testCall = SearchCall{Request: "r1", Attempt: 2, Shard: 3, Snapshot: 7, Query: "q", Limit: 5}
+
+func equal[T comparable](t testing.TB, name string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("%s: got %v, want %v", name, got, want)
+	}
+}
+
+// wantFailure checks err and returns it as the CallError that it must be.
+func wantFailure(t testing.TB, err error, status peerpb.ResultStatus, run peerpb.RunState) *CallError {
+	t.Helper()
+	var call *CallError
+	if !errors.As(err, &call) {
+		t.Fatalf("not a CallError: %v", err)
+	}
+	equal(t, "status", call.Status, status)
+	equal(t, "run", call.Run, run)
+	return call
+}
+
+func wantStats(t testing.TB, pool *Pool, open, idle int) {
+	t.Helper()
+	gotOpen, gotIdle := pool.Stats()
+	equal(t, "open", gotOpen, open)
+	equal(t, "idle", gotIdle, idle)
+}
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func poolFor(t testing.TB, address string, opts Options) *Pool {
+	opts.Connections = max(opts.Connections, 2)
+	pool := NewPool(membership.BackendServer{ID: "b1", Address: address}, opts)
+	t.Cleanup(pool.Close)
+	return pool
+}
+
+// searchTogether sends n searches at once; all must succeed.
+func searchTogether(t testing.TB, pool *Pool, n int) {
+	t.Helper()
+	errs := make(chan error, n)
+	ctx := testContext(t)
+	for range n {
+		go func() {
+			_, err := pool.Search(ctx, testCall)
+			errs <- err
+		}()
+	}
+	for range n {
+		equal(t, "error", <-errs, nil)
+	}
+}
+
+// echo is the correct reply to testCall, with one field changed.
+func echo(field string, value any) string {
+	body := map[string]any{
+		"request": "r1", "attempt": 2, "shard": 3, "snapshot": 7, "from": "a", "to": "b",
+		"documents": 9, "hits": []Hit{{Key: "k", Score: 1, Document: "d"}}, "complete": true,
+	}
+	body[field] = value
+	data, _ := json.Marshal(body)
+	return httpReply(http.StatusOK, string(data))
+}
+
+func httpReply(status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s: inc-1\r\n%s: 7, 8\r\n%s: 1\r\n\r\n%s",
+		status, len(body), HeaderIncarnation, HeaderSnapshots, HeaderDraining, body)
+}
+
+// rawServer counts connections and requests. Its handler gets the number of
+// the request and returns what to write and whether to close then.
+type rawServer struct {
+	net.Listener
+	dials, requests atomic.Int32
+}
+
+type rawHandler func(conn net.Conn, n int32, r *http.Request) (reply string, closes bool)
+
+func newRawServer(t testing.TB, handle rawHandler) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	equal(t, "error", err, nil)
+	s := &rawServer{Listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.dials.Add(1)
+			t.Cleanup(func() { _ = conn.Close() })
+			go s.serve(conn, handle)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn, handle rawHandler) {
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		reply, closes := handle(conn, s.requests.Add(1), r)
+		_, _ = io.WriteString(conn, reply)
+		if closes {
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+func (s *rawServer) address() string { return s.Addr().String() }
--- a/pkg/backend/search_test.go
+++ b/pkg/backend/search_test.go
@@ -1,35 +1,159 @@
 package backend
 
 import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 )
 
-// Guards against lost or wrong request headers and against results without
-// what the reply's headers tell about the server.
+// Guards against lost request headers, a trace that ends at the owner, and
+// results without what the reply's headers tell about the server.
 func TestSearchCarriesHeadersBothWays(t *testing.T) {
 	var got http.Header
-	pool := newTestPool(t, func(w http.ResponseWriter, r *http.Request) {
-		got = r.Header.Clone()
-		w.Header().Set(HeaderIncarnation, "inc-1")
-		w.Header().Set(HeaderSnapshots, "7, 8")
-		w.Header().Set(HeaderDraining, "1")
-		_, _ = w.Write(echo(nil))
-	}, Options{Zone: "z1"})
-	result, err := pool.Search(testContext(t), testCall)
-	noError(t, err)
+	server := newRawServer(t, func(_ net.Conn, _ int32, r *http.Request) (string, bool) {
+		got = r.Header
+		return echo("documents", 9), false
+	})
+	pool := poolFor(t, server.address(), Options{Zone: "z1"})
+	parent := trace.NewSpanContext(trace.SpanContextConfig{TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}, Remote: true})
+	result, err := pool.Search(trace.ContextWithRemoteSpanContext(testContext(t), parent), testCall)
+	equal(t, "error", err, nil)
 	equal(t, "documents", result.Documents, 9)
 	equal(t, "incarnation", result.Incarnation, "inc-1")
 	equal(t, "draining", result.Draining, true)
 	equal(t, "snapshots", slices.Equal(result.Snapshots, []int64{7, 8}), true)
 	for name, want := range map[string]string{
 		HeaderRequest: "r1", HeaderAttempt: "2", HeaderShard: "3", HeaderSnapshot: "7", HeaderZone: "z1",
+		"traceparent": "00-01000000000000000000000000000000-0200000000000000-00",
 	} {
 		equal(t, name, got.Get(name), want)
 	}
 	equal(t, "timeout header present", got.Get(HeaderTimeout) != "", true)
-	open, idle := pool.Stats()
-	equal(t, "open", open, 1)
-	equal(t, "idle", idle, 1)
+	wantStats(t, pool, 1, 1)
+}
+
+// Guards against a wrong claim about a request whose connection broke or whose
+// reply is cut or belongs to another call, and against using such a
+// connection again.
+func TestSearchFaults(t *testing.T) {
+	good := echo("documents", 9)
+	invalid := map[string]string{
+		"truncated header":       good[:20],
+		"truncated body":         good[:len(good)-3],
+		"no content length":      strings.Replace(good, "Content-Length", "X", 1),
+		"complete missing":       echo("complete", false),
+		"another request":        echo("request", "r0"),
+		"another attempt":        echo("attempt", 1),
+		"another shard":          echo("shard", 0),
+		"another snapshot":       echo("snapshot", 8),
+		"reply above size limit": echo("from", strings.Repeat("x", 8<<10)),
+		"":                       "", // closed without reply
+	}
+	for name, reply := range invalid {
+		server := newRawServer(t, func(net.Conn, int32, *http.Request) (string, bool) {
+			return reply, !strings.HasPrefix(name, "another")
+		})
+		pool := poolFor(t, server.address(), Options{MaxReplyBytes: 4 << 10})
+		_, err := pool.Search(testContext(t), testCall)
+		status := peerpb.ResultStatus_INVALID_REPLY
+		if reply == "" {
+			status = peerpb.ResultStatus_CRASHED
+		}
+		t.Log(name)
+		wantFailure(t, err, status, unknown)
+		wantStats(t, pool, 0, 0)
+	}
+}
+
+// Guards against counting a refused dial as maybe run or as a crash.
+func TestRefusedDialIsNotRun(t *testing.T) {
+	server := newRawServer(t, nil)
+	_ = server.Close()
+	pool := poolFor(t, server.address(), Options{})
+	_, err := pool.Search(testContext(t), testCall)
+	wantFailure(t, err, peerpb.ResultStatus_UNREACHABLE, noRun)
+	wantStats(t, pool, 0, 0)
+}
+
+// Guards against more connections than this instance's quota of the backend
+// server, and against surplus ones that stay open when the quota falls.
+func TestConnectionQuota(t *testing.T) {
+	var open, most atomic.Int32
+	server := newRawServer(t, func(net.Conn, int32, *http.Request) (string, bool) {
+		most.Store(max(most.Load(), open.Add(1)))
+		time.Sleep(time.Millisecond) // lets calls overlap
+		open.Add(-1)
+		return echo("documents", 9), false
+	})
+	pool := poolFor(t, server.address(), Options{Connections: 3})
+	searchTogether(t, pool, 30)
+	if server.dials.Load() > 3 || most.Load() > 3 {
+		t.Fatalf("%d dials, %d requests at once", server.dials.Load(), most.Load())
+	}
+	pool.SetConnections(1)
+	wantStats(t, pool, 1, 1)
+	pool.SetConnections(0)
+	_, err := pool.Search(testContext(t), testCall)
+	wantFailure(t, err, peerpb.ResultStatus_UNREACHABLE, noRun)
+}
+
+// Guards against requests that keep running at the server after the caller has
+// gone: cancellation has to close the connection.
+func TestCancellationReachesServer(t *testing.T) {
+	ctx, cancel := context.WithCancel(testContext(t))
+	seen := make(chan bool, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		// net/http watches for a closed connection once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		cancel()
+		select {
+		case <-r.Context().Done():
+			seen <- true
+		case <-time.After(testTimeout / 2):
+			seen <- false
+		}
+	}))
+	t.Cleanup(server.Close)
+	pool := poolFor(t, server.Listener.Addr().String(), Options{})
+	_, err := pool.Search(ctx, testCall)
+	wantFailure(t, err, peerpb.ResultStatus_DEADLINE, unknown)
+	equal(t, "cancelled", errors.Is(err, context.Canceled), true)
+	equal(t, "cancellation seen by the server", <-seen, true)
+	wantStats(t, pool, 0, 0)
+}
+
+// Guards against TLS connections that are never reused, since session tickets
+// and alerts arrive on the socket outside of replies, and against an
+// unverified server.
+func TestTLSConnectionIsVerifiedAndReused(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, body, _ := strings.Cut(echo("documents", 9), "\r\n\r\n")
+		_, _ = io.WriteString(w, body)
+	}))
+	t.Cleanup(server.Close)
+	trusted := &tls.Config{RootCAs: x509.NewCertPool(), MinVersion: tls.VersionTLS13}
+	trusted.RootCAs.AddCert(server.Certificate())
+	pool := poolFor(t, server.Listener.Addr().String(), Options{TLS: trusted})
+	for range 3 {
+		searchTogether(t, pool, 1)
+		wantStats(t, pool, 1, 1)
+		equal(t, "usable", pool.idle[0].usable(), true)
+	}
+	pool = poolFor(t, server.Listener.Addr().String(), Options{TLS: &tls.Config{MinVersion: tls.VersionTLS13}})
+	_, err := pool.Search(testContext(t), testCall)
+	wantFailure(t, err, peerpb.ResultStatus_UNREACHABLE, noRun)
 }
