--- /dev/null
+++ b/pkg/backend/silent_test.go
@@ -0,0 +1,102 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// silence is the progress timeout of tests in which a server stays silent.
+const silence = 30 * time.Millisecond
+
+// silentAfter answers the given number of requests, all at once. Later
+// requests on the same connections get no answer; newWorks says whether those
+// on new connections do.
+func silentAfter(t *testing.T, answered int32, newWorks bool) (*rawServer, *Pool) {
+	var all sync.WaitGroup
+	all.Add(int(answered))
+	var old sync.Map
+	server := newRawServer(t, func(conn net.Conn, n int32, _ *http.Request) (string, bool) {
+		_, known := old.LoadOrStore(conn, true)
+		if n <= answered {
+			all.Done()
+			all.Wait()
+		} else if known || !newWorks {
+			return "", false
+		}
+		return echo("documents", 9), false
+	})
+	pool := poolFor(t, server.address(), Options{ProgressTimeout: silence, MaxDials: 1})
+	searchTogether(t, pool, int(answered))
+	return server, pool
+}
+
+// Guards against blaming a healthy server for connections that became
+// unresponsive, and against meeting every one of them in turn.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	server, pool := silentAfter(t, 2, true)
+	searchTogether(t, pool, 1)
+	equal(t, "dials", server.dials.Load(), 3)
+	wantStats(t, pool, 1, 1)
+}
+
+// Guards against endless attempts on a server that is silent as a whole, and
+// against the claim "not run" when the second connection is refused but the
+// first one may have delivered the request.
+func TestSilentServerIsBlamedAfterOneNewConnection(t *testing.T) {
+	for _, refuses := range []bool{false, true} {
+		server, pool := silentAfter(t, 1, false)
+		want := int32(2)
+		if refuses {
+			_ = server.Close()
+			want = 1
+		}
+		_, err := pool.Search(testContext(t), testCall)
+		wantFailure(t, err, peerpb.ResultStatus_UNREACHABLE, unknown)
+		equal(t, "dials", server.dials.Load(), want)
+	}
+}
+
+// Guards against closing connections that have proven to respond since the
+// silent call was sent.
+func TestDropIdleKeepsProvenConnections(t *testing.T) {
+	_, pool := silentAfter(t, 2, true)
+	equal(t, "dropped", pool.dropIdle(pool.idle[0].lastUse), 1)
+	wantStats(t, pool, 1, 1)
+}
+
+// Guards against reporting a connection that the server closed while idle as a
+// crash of the next request.
+func TestConnectionClosedWhileIdleIsNoCrash(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	server := newRawServer(t, func(conn net.Conn, _ int32, _ *http.Request) (string, bool) {
+		_, _ = conn.Write([]byte(echo("documents", 9)))
+		_ = conn.Close()
+		closed <- struct{}{}
+		return "", true
+	})
+	pool := poolFor(t, server.address(), Options{})
+	for range 2 {
+		searchTogether(t, pool, 1)
+		<-closed
+	}
+}
+
+// Guards against a reconnect storm: dials wait for a token, and a call that
+// gets none has not run.
+func TestDialsAreLimited(t *testing.T) {
+	server, pool := silentAfter(t, 0, true)
+	pool.dials <- struct{}{}
+	ctx, cancel := context.WithTimeout(t.Context(), silence)
+	defer cancel()
+	_, err := pool.Search(ctx, testCall)
+	wantFailure(t, err, peerpb.ResultStatus_DEADLINE, noRun)
+	equal(t, "dials", server.dials.Load(), 0)
+	<-pool.dials
+	searchTogether(t, pool, 1)
+}
--- /dev/null
+++ b/pkg/backend/submit_test.go
@@ -0,0 +1,127 @@
+package backend
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+type guardFunc func() bool
+
+func (g guardFunc) Send() bool { return g() }
+
+var (
+	allow      = guardFunc(func() bool { return true })
+	testSubmit = SubmitCall{Request: "r1", Attempt: 2, Operation: "t1", Key: "k", Payload: []byte(`{}`)}
+)
+
+func submitReply(operation string) string {
+	return fmt.Sprintf(`{"request":"r1","attempt":2,"operation":%q,"result":{"fee":1},"run":true}`, operation)
+}
+
+// crashOnSecond closes the connection of the second request after reading it,
+// as a server does that crashes while it runs the request.
+func crashOnSecond(t *testing.T) *rawServer {
+	return newRawServer(t, func(_ net.Conn, n int32, r *http.Request) (string, bool) {
+		if n == 2 {
+			return "", true
+		}
+		return httpReply(http.StatusOK, submitReply("t1")), false
+	})
+}
+
+// Guards against a submission that is sent twice. The Transport of net/http
+// replays it when a reused connection breaks and the request has an
+// Idempotency-Key; Submit writes it once.
+func TestSubmitIsNeverReplayed(t *testing.T) {
+	server := crashOnSecond(t)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		req, err := http.NewRequestWithContext(testContext(t), http.MethodPost, "http://"+server.address(), bytes.NewReader([]byte(`{}`)))
+		equal(t, "error", err, nil)
+		req.Header.Set("Idempotency-Key", "t1")
+		resp, err := transport.RoundTrip(req)
+		equal(t, "error", err, nil)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	equal(t, "requests of two calls through Transport", server.requests.Load(), 3)
+
+	server = crashOnSecond(t)
+	pool := poolFor(t, server.address(), Options{})
+	_, err := pool.Submit(testContext(t), testSubmit, allow)
+	equal(t, "error", err, nil)
+	_, err = pool.Submit(testContext(t), testSubmit, allow)
+	wantFailure(t, err, peerpb.ResultStatus_CRASHED, unknown)
+	equal(t, "requests of two calls through Submit", server.requests.Load(), 2)
+	equal(t, "dials", server.dials.Load(), 2)
+}
+
+// Guards against a wrong run state around the first byte: the guard decides
+// exactly between a connection that is ready and the first write.
+func TestSendGuard(t *testing.T) {
+	server := crashOnSecond(t)
+	pool := poolFor(t, server.address(), Options{})
+	_, err := pool.Submit(testContext(t), testSubmit, guardFunc(func() bool { return false }))
+	wantFailure(t, err, peerpb.ResultStatus_DEADLINE, noRun)
+	_ = server.Close()
+	called := false
+	_, err = pool.Submit(testContext(t), testSubmit, guardFunc(func() bool {
+		called = true
+		return true
+	}))
+	wantFailure(t, err, peerpb.ResultStatus_UNREACHABLE, noRun)
+	equal(t, "guard called without a connection", called, false)
+	equal(t, "requests", server.requests.Load(), 0)
+}
+
+// Guards against a wrong claim that a submission ran or did not run, against
+// submissions on a connection that searches have used and that may have become
+// unresponsive, and against headers that make them replayable.
+func TestSubmitReplies(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		body   string
+		want   peerpb.ResultStatus
+		run    peerpb.RunState
+	}{
+		{200, submitReply("t1"), peerpb.ResultStatus_OK, peerpb.RunState_RUN_STATE_RUN},
+		{200, submitReply("t2"), peerpb.ResultStatus_INVALID_REPLY, unknown},
+		{503, `{"not_run":true,"reason":"shed"}`, peerpb.ResultStatus_SHED, noRun},
+		{503, `{"not_run":true,"reason":"draining"}`, peerpb.ResultStatus_DRAINING, noRun},
+		{503, `{"not_run":true,"reason":"cold"}`, peerpb.ResultStatus_COLD, noRun},
+		{410, `{"not_run":true,"reason":"snapshot-gone"}`, peerpb.ResultStatus_SNAPSHOT_GONE, noRun},
+		{504, `{"not_run":true,"reason":"deadline"}`, peerpb.ResultStatus_DEADLINE, noRun},
+		{503, `{"reason":"shed"}`, peerpb.ResultStatus_INVALID_REPLY, unknown},
+		{503, `{"not_run":true,"reason":"shed","request":"r0"}`, peerpb.ResultStatus_INVALID_REPLY, unknown},
+		{500, `oops`, peerpb.ResultStatus_INVALID_REPLY, unknown},
+	} {
+		var got *http.Request
+		server := newRawServer(t, func(_ net.Conn, n int32, r *http.Request) (string, bool) {
+			if n == 1 {
+				return echo("documents", 9), false
+			}
+			got = r
+			return httpReply(c.status, c.body), false
+		})
+		pool := poolFor(t, server.address(), Options{})
+		searchTogether(t, pool, 1)
+		result, err := pool.Submit(testContext(t), testSubmit, allow)
+		equal(t, "dials", server.dials.Load(), 2)
+		equal(t, "connection closes", got.Close, true)
+		equal(t, "idempotency key", got.Header.Get("Idempotency-Key"), "")
+		equal(t, "operation", got.Header.Get(HeaderOperation), "t1")
+		if c.want == peerpb.ResultStatus_OK {
+			equal(t, "error", err, nil)
+			equal(t, "result", string(result.Result), `{"fee":1}`)
+			continue
+		}
+		equal(t, "incarnation", wantFailure(t, err, c.want, c.run).Incarnation, "inc-1")
+	}
+}
--- /dev/null
+++ b/pkg/selection/bench_test.go
@@ -0,0 +1,57 @@
+package selection
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+)
+
+// largeShards is about the number of shards of the target size.
+const largeShards = 1000
+
+func largeService() (s *Selector, shards [][]membership.BackendServer) {
+	s = newSelector()
+	for i := range largeShards {
+		shards = append(shards, shard(i, 2))
+		s.Order(epoch, shards[i], "z")
+	}
+	return s, shards
+}
+
+// BenchmarkOrder orders the replicas of one shard. It also reports the heap of
+// a known backend server, and the rest for its service.
+func BenchmarkOrder(b *testing.B) {
+	s, shards := largeService()
+	for i := 0; b.Loop(); i++ {
+		s.Order(epoch, shards[i%largeShards], "z")
+	}
+	full := heap()
+	clear(s.servers)
+	clear(s.services["t/s"].servers)
+	s.servers, s.services["t/s"].servers, s.scratch = nil, nil, nil
+	empty := heap()
+	b.ReportMetric(float64(full-empty)/(2*largeShards), "B/server")
+	delete(s.services, "t/s")
+	b.ReportMetric(float64(empty-heap()), "B/service")
+	runtime.KeepAlive(s)
+}
+
+// BenchmarkBeginDone records one attempt, with time passing as at 100,000
+// attempts a second.
+func BenchmarkBeginDone(b *testing.B) {
+	s, shards := largeService()
+	now := epoch
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(10 * time.Microsecond)
+		observe(s, shards[i%largeShards][i%2].ID, 10*time.Millisecond, ok, now)
+	}
+}
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
