--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -14,7 +14,7 @@
 const (
 	// rounds is how often the arms take turns, so that a change of the
 	// machine's load hits all of them.
-	rounds = 2
+	rounds = 4
 	// warmUpTime precedes the first round of each arm.
 	warmUpTime = 800 * time.Millisecond
 	warmUpLoad = 0.2
