Check bundle freshness, measure per round and add combined faults

Invariant 8 (a bundle takes effect within 3 s and is never reverted) was not checked: the oracle now knows when bundles were published and reports an answer decided under an older one, unless it says that its view is stale. The demo and the experiment gain bundle-change, rolling-restart and combined faults.

Latency is also reported as the median of the four rounds, because single busy rounds dominate the p99 of a whole arm on a shared machine. An error during a restart fails the run instead of being dropped.

Listeners of instances, backend servers and links use ports below the range of outgoing connections, so that a port is still there after a restart.

--- a/pkg/demo/command.go
+++ b/pkg/demo/command.go
@@ -21,7 +21,7 @@
 // Command is the demo command of the command-line tool.
 type Command struct {
 	Queries    int    `long:"queries" description:"number of queries" default:"100"`
-	Fault      string `long:"fault" description:"fault that is switched on after a third of the queries: none, straggler, replica-loss, silent-connections, config-down, repartition, crashing-request, overload, wrong-replies, drain, instance-loss or partition" default:"none"`
+	Fault      string `long:"fault" description:"fault that is switched on after a third of the queries: none, straggler, replica-loss, silent-connections, config-down, repartition, crashing-request, overload, wrong-replies, drain, instance-loss, bundle-change, rolling-restart, combined or partition" default:"none"`
 	Deployment string `long:"deployment" description:"office or agenda-serena" default:"office"`
 	Output     string `long:"output" description:"text or json" default:"text"`
 	Seed       uint64 `long:"seed" description:"seed of data, queries and service times" default:"1"`
--- a/pkg/demo/demo_test.go
+++ b/pkg/demo/demo_test.go
@@ -70,3 +70,20 @@
 		assert.Assert(t, errors.As(command.Execute(nil), &usage))
 	}
 }
+
+// Guards against invariants that real instances break under faults. Counts of
+// refusals are not checked, as they depend on the machine's speed.
+func TestInstancesKeepInvariants(t *testing.T) {
+	for _, fault := range []string{"none", "replica-loss", "wrong-replies", "crashing-request", "combined"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			command := Command{Queries: 45, Fault: fault, Deployment: "agenda-serena", Output: "json", Seed: 2, Out: &out}
+			assert.NilError(t, command.Execute(nil), "%s", out.String())
+			var report Report
+			assert.NilError(t, json.Unmarshal(out.Bytes(), &report))
+			assert.Assert(t, report.Complete > 0)
+			assert.Equal(t, report.Complete+report.Partial+report.Refused+report.Failed, 45)
+		})
+	}
+}
--- a/pkg/demo/report.go
+++ b/pkg/demo/report.go
@@ -24,6 +24,7 @@
 	FalseCoverage         int            `json:"false_coverage"`
 	DuplicateExecutions   int            `json:"duplicate_executions"`
 	RefusedButRun         int            `json:"refused_but_run"`
+	StaleBundles          int            `json:"stale_bundles"`
 	LostSubmissions       int            `json:"lost_submissions"`
 	MinCoverage           float64        `json:"min_coverage"`
 	BundleVersion         int64          `json:"bundle_version"`
@@ -54,6 +55,7 @@
 		FalseCoverage:       audit.Count(oracle.FalseCoverage),
 		DuplicateExecutions: audit.Count(oracle.DuplicateExecution),
 		RefusedButRun:       audit.Count(oracle.RefusedButRun),
+		StaleBundles:        audit.Count(oracle.StaleBundle),
 		LostSubmissions:     audit.Count(oracle.LostSubmission),
 		MinCoverage:         t.coverage,
 		BundleVersion:       t.bundle,
@@ -78,7 +80,7 @@
 // Violations returns the number of broken invariants.
 func (r *Report) Violations() int {
 	return r.WrongAnswers + r.MixedSnapshots + r.FalseCoverage +
-		r.DuplicateExecutions + r.RefusedButRun + r.LostSubmissions
+		r.DuplicateExecutions + r.RefusedButRun + r.LostSubmissions + r.StaleBundles
 }
 
 // WriteText writes the report for people.
@@ -115,8 +117,8 @@
 		fmt.Fprint(text, "\nEvery answer was checked: no invariant was violated.\n")
 		return
 	}
-	fmt.Fprintf(text, "\n%d invariant violations: %d wrong answers, %d mixed snapshots, %d false coverage, %d duplicate executions, %d refused but run, %d lost submissions\n",
-		r.Violations(), r.WrongAnswers, r.MixedSnapshots, r.FalseCoverage, r.DuplicateExecutions, r.RefusedButRun, r.LostSubmissions)
+	fmt.Fprintf(text, "\n%d invariant violations: %d wrong answers, %d mixed snapshots, %d false coverage, %d duplicate executions, %d refused but run, %d lost submissions, %d stale bundles\n",
+		r.Violations(), r.WrongAnswers, r.MixedSnapshots, r.FalseCoverage, r.DuplicateExecutions, r.RefusedButRun, r.LostSubmissions, r.StaleBundles)
 	for _, problem := range r.Problems {
 		fmt.Fprintf(text, "  %s\n", problem)
 	}
--- a/pkg/demo/run.go
+++ b/pkg/demo/run.go
@@ -33,6 +33,9 @@
 		return nil, err
 	}
 	time.Sleep(settleTime)
+	if err := f.Failure(); err != nil {
+		return nil, err
+	}
 	f.Audit.Finish()
 	return run.report(), nil
 }
--- a/pkg/experiment/arm.go
+++ b/pkg/experiment/arm.go
@@ -29,6 +29,7 @@
 	}
 	a.tally.offer(list, length)
 	a.send(ctx, list, a.tally.add)
+	a.tally.endRound()
 	return ctx.Err()
 }
 
--- a/pkg/experiment/command.go
+++ b/pkg/experiment/command.go
@@ -19,7 +19,7 @@
 
 // Command is the experiment command of the command-line tool.
 type Command struct {
-	Scenario string        `long:"scenario" description:"office, agenda-serena, straggler, replica-loss, overload, silent-connections, repartition, rolling-restart or crashing-request" default:"office"`
+	Scenario string        `long:"scenario" description:"office, agenda-serena, straggler, replica-loss, overload, silent-connections, repartition, rolling-restart, combined or crashing-request" default:"office"`
 	Policy   string        `long:"policy" description:"owners, direct, hedge, no-hedge, observed, random, canary, no-canary, retry, no-retry, soft-stop, no-soft-stop or plain" default:"owners"`
 	Baseline string        `long:"baseline" description:"like policy" default:"direct"`
 	Output   string        `long:"output" description:"text, json or csv" default:"text"`
--- a/pkg/experiment/faults.go
+++ b/pkg/experiment/faults.go
@@ -9,10 +9,8 @@
 )
 
 const (
-	restartPause  = 200 * time.Millisecond
-	poisonGap     = 150 * time.Millisecond
-	crashedFor    = time.Second
-	restartBounds = 30 * time.Second
+	poisonGap  = 150 * time.Millisecond
+	crashedFor = time.Second
 )
 
 // named returns the fault of the fleet's list.
@@ -51,20 +49,6 @@
 	return nil
 }
 
-// rollingRestart replaces instances until the turn ends; a restart that has
-// begun is finished.
-func rollingRestart(ctx context.Context, f *fleet.Fleet) error {
-	go func() {
-		for number := 0; ctx.Err() == nil; number++ {
-			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), restartBounds)
-			_ = f.Restart(bounded, number%f.Size())
-			cancel()
-			time.Sleep(restartPause)
-		}
-	}()
-	return nil
-}
-
 // crashing sends the same crashing request again and again, as its caller
 // retries it, beside the normal load.
 func crashing(ctx context.Context, f *fleet.Fleet) error {
--- a/pkg/experiment/measurement.go
+++ b/pkg/experiment/measurement.go
@@ -1,6 +1,11 @@
 package experiment
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
 
 // Measurement is what one arm achieved. Rates are per second of the measured
 // time.
@@ -13,6 +18,10 @@
 	P50Ms                 float64            `json:"p50_ms"` // of all answers
 	P99Ms                 float64            `json:"p99_ms"`
 	P999Ms                float64            `json:"p999_ms"`
+	P50MedianMs           float64            `json:"p50_median_ms"` // median of the rounds; less sensitive to a busy machine
+	P99MedianMs           float64            `json:"p99_median_ms"`
+	Rounds                []Round            `json:"rounds"`
+	Restarts              int                `json:"restarts"` // of instances
 	CoverageMean          float64            `json:"coverage_mean"`
 	CoverageMin           float64            `json:"coverage_min"`
 	AttemptsPerShardQuery float64            `json:"attempts_per_shard_query"`
@@ -30,6 +39,7 @@
 	m := a.tally.measurement()
 	m.Name = a.policy.Name
 	m.InvariantBreaks = audit.Total()
+	m.Restarts = a.fleet.Restarts()
 	m.Problems = []string{}
 	for _, problem := range audit.Problems() {
 		m.Problems = append(m.Problems, problem.String())
@@ -43,9 +53,12 @@
 	m := Measurement{
 		OfferedByClass:  t.rates(t.offered),
 		GoodputByClass:  t.rates(t.good),
-		P50Ms:           t.percentileMs(50),
-		P99Ms:           t.percentileMs(99),
-		P999Ms:          t.percentileMs(99.9),
+		P50Ms:           percentileMs(t.latency, 50),
+		P99Ms:           percentileMs(t.latency, 99),
+		P999Ms:          percentileMs(t.latency, 99.9),
+		P50MedianMs:     median(t.rounds, func(r Round) float64 { return r.P50Ms }),
+		P99MedianMs:     median(t.rounds, func(r Round) float64 { return r.P99Ms }),
+		Rounds:          t.rounds,
 		CoverageMin:     t.coverageMin,
 		RefusedByReason: t.refused,
 		FailedByReason:  t.failed,
@@ -72,6 +85,19 @@
 	return rates
 }
 
-func (t *tally) percentileMs(percent float64) float64 {
-	return float64(t.latency.ValueAtPercentile(percent)) / float64(time.Millisecond.Microseconds())
+func percentileMs(histogram *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(histogram.ValueAtPercentile(percent)) / float64(time.Millisecond.Microseconds())
+}
+
+// median returns the lower median of a value over the rounds, 0 for none.
+func median(rounds []Round, value func(Round) float64) float64 {
+	if len(rounds) == 0 {
+		return 0
+	}
+	values := make([]float64, 0, len(rounds))
+	for _, round := range rounds {
+		values = append(values, value(round))
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
 }
--- a/pkg/experiment/output.go
+++ b/pkg/experiment/output.go
@@ -32,13 +32,13 @@
 func (r *Result) WriteCSV(out io.Writer) error {
 	writer := csv.NewWriter(out)
 	rows := [][]string{{
-		"scenario", "seed", "arm", "name", "offered", "goodput", "p50_ms", "p99_ms", "p999_ms",
+		"scenario", "seed", "arm", "name", "offered", "goodput", "p50_ms", "p99_ms", "p999_ms", "p50_median_ms", "p99_median_ms",
 		"coverage_mean", "coverage_min", "attempts_per_shard_query", "refused", "failed", "invariant_breaks",
 	}}
 	for _, m := range r.arms() {
 		rows = append(rows, []string{
 			r.Scenario, strconv.FormatUint(r.Seed, 10), m.arm, m.Name,
-			number(m.Offered), number(m.Goodput), number(m.P50Ms), number(m.P99Ms), number(m.P999Ms),
+			number(m.Offered), number(m.Goodput), number(m.P50Ms), number(m.P99Ms), number(m.P999Ms), number(m.P50MedianMs), number(m.P99MedianMs),
 			number(m.CoverageMean), number(m.CoverageMin), number(m.AttemptsPerShardQuery),
 			strconv.Itoa(sum(m.RefusedByReason)), strconv.Itoa(sum(m.FailedByReason)), strconv.Itoa(m.InvariantBreaks),
 		})
@@ -65,11 +65,14 @@
 	row("p50 ms", func(m Measurement) string { return number(m.P50Ms) })
 	row("p99 ms", func(m Measurement) string { return number(m.P99Ms) })
 	row("p99.9 ms", func(m Measurement) string { return number(m.P999Ms) })
+	row("p50 ms, median of rounds", func(m Measurement) string { return number(m.P50MedianMs) })
+	row("p99 ms, median of rounds", func(m Measurement) string { return number(m.P99MedianMs) })
 	row("coverage mean", func(m Measurement) string { return fmt.Sprintf("%.5f", m.CoverageMean) })
 	row("coverage least", func(m Measurement) string { return fmt.Sprintf("%.5f", m.CoverageMin) })
 	row("attempts per shard", func(m Measurement) string { return fmt.Sprintf("%.4f", m.AttemptsPerShardQuery) })
 	row("refused", func(m Measurement) string { return strconv.Itoa(sum(m.RefusedByReason)) })
 	row("failed", func(m Measurement) string { return strconv.Itoa(sum(m.FailedByReason)) })
+	row("restarts", func(m Measurement) string { return strconv.Itoa(m.Restarts) })
 	row("invariant breaks", func(m Measurement) string { return strconv.Itoa(m.InvariantBreaks) })
 	r.writeDetails(&text)
 	_, err := io.WriteString(out, text.String())
--- a/pkg/experiment/run.go
+++ b/pkg/experiment/run.go
@@ -69,6 +69,11 @@
 		return nil, err
 	}
 	time.Sleep(settleTime)
+	for _, a := range e.arms {
+		if err := a.fleet.Failure(); err != nil {
+			return nil, err
+		}
+	}
 	return &Result{
 		Scenario: config.Scenario.Name,
 		Seed:     config.Seed,
--- a/pkg/experiment/scenario.go
+++ b/pkg/experiment/scenario.go
@@ -51,7 +51,9 @@
 	{Name: "repartition", Description: "the index moves to another snapshot every second", Deployment: standin.OfficeName,
 		Load: normalLoad, Duration: normalDuration, Fault: repartition},
 	{Name: "rolling-restart", Description: "the instances restart one after the other", Deployment: standin.OfficeName,
-		Load: normalLoad, Duration: normalDuration, Fault: rollingRestart},
+		Load: normalLoad, Duration: normalDuration, Fault: named("rolling-restart")},
+	{Name: "combined", Description: "several faults together", Deployment: standin.OfficeName,
+		Load: normalLoad, Duration: normalDuration, Fault: named("combined")},
 	{Name: "crashing-request", Description: "a repeated request crashes every backend server that runs it", Deployment: standin.OfficeName,
 		Load: normalLoad, Duration: normalDuration, Fault: crashing},
 }
--- a/pkg/experiment/tally.go
+++ b/pkg/experiment/tally.go
@@ -24,6 +24,8 @@
 	refused     map[string]int
 	failed      map[string]int
 	latency     *hdrhistogram.Histogram // of answers, in microseconds
+	round       *hdrhistogram.Histogram // of the round in progress
+	rounds      []Round                 // ended
 	coverageSum float64
 	coverageMin float64
 	answers     int // of searches
@@ -37,11 +39,24 @@
 		good:        map[string]int{},
 		refused:     map[string]int{},
 		failed:      map[string]int{},
-		latency:     hdrhistogram.New(shortestLatency.Microseconds(), longestLatency.Microseconds(), latencyDigits),
+		latency:     newLatency(),
+		round:       newLatency(),
 		coverageMin: 1,
 	}
 }
 
+func newLatency() *hdrhistogram.Histogram {
+	return hdrhistogram.New(shortestLatency.Microseconds(), longestLatency.Microseconds(), latencyDigits)
+}
+
+// endRound closes the histogram of a round.
+func (t *tally) endRound() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rounds = append(t.rounds, Round{P50Ms: percentileMs(t.round, 50), P99Ms: percentileMs(t.round, 99)})
+	t.round.Reset()
+}
+
 func (t *tally) offer(list []arrival, length time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,7 +79,9 @@
 		t.failed[reply.Reason]++
 		return
 	}
-	_ = t.latency.RecordValue(min(reply.Latency, longestLatency).Microseconds())
+	latency := min(reply.Latency, longestLatency).Microseconds()
+	_ = t.latency.RecordValue(latency)
+	_ = t.round.RecordValue(latency)
 	if isGood(request.Class, reply) {
 		t.good[request.Class.Name]++
 	}
--- a/pkg/fleet/caller.go
+++ b/pkg/fleet/caller.go
@@ -41,6 +41,7 @@
 }
 
 func (f *Fleet) search(ctx context.Context, request Request) Reply {
+	sent := time.Now()
 	body := searchBody{Query: request.Query, Limit: request.Limit}
 	raw, tries, err := f.ask(ctx, request, "search", body, "")
 	if err != nil {
@@ -60,7 +61,7 @@
 	}
 	reply.Problems = f.Audit.Answer(oracle.Search{
 		Team: f.config.Spec.Team, Service: request.Service, Query: request.Query, Limit: request.Limit,
-	}, answer)
+	}, answer, sent)
 	return reply
 }
 
--- a/pkg/fleet/faults.go
+++ b/pkg/fleet/faults.go
@@ -17,6 +17,10 @@
 	partitionLength  = 1500 * time.Millisecond
 	lostReplicas     = 3
 	wrongReplyEvery  = 20
+	bundlePeriod     = 400 * time.Millisecond
+	restartBound     = time.Minute
+	outagePeriod     = time.Second
+	outageLength     = 500 * time.Millisecond
 	lateReplyDelay   = 300 * time.Millisecond
 	drainGrace       = time.Second
 )
@@ -33,6 +37,9 @@
 	{Name: "wrong-replies", Description: "backend servers send late, truncated, crossed and outdated replies", Apply: wrongReplies},
 	{Name: "drain", Description: "every third backend server drains and leaves", Apply: drain},
 	{Name: "instance-loss", Description: "one instance is killed", Apply: instanceLoss},
+	{Name: "bundle-change", Description: "a new bundle is published every 400 ms", Apply: bundleChange},
+	{Name: "rolling-restart", Description: "the instances restart one after the other", Apply: rollingRestart},
+	{Name: "combined", Description: "straggler, silent connections, repartition, bundle changes, drains and configuration outages together", Apply: combined},
 	{Name: "partition", Description: "one zone's instances are cut off from the others for 1.5 s", Apply: partition},
 }
 
@@ -162,3 +169,33 @@
 		}
 	}
 }
+
+func bundleChange(ctx context.Context, f *Fleet) error {
+	go every(ctx, bundlePeriod, func() { _ = f.PublishBundle() })
+	return nil
+}
+
+// rollingRestart replaces instances until the context ends; a restart that has
+// begun is finished.
+func rollingRestart(ctx context.Context, f *Fleet) error {
+	go func() {
+		for number := 0; ctx.Err() == nil; number++ {
+			bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), restartBound)
+			f.Restart(bounded, number%f.Size())
+			cancel()
+		}
+	}()
+	return nil
+}
+
+func combined(ctx context.Context, f *Fleet) error {
+	for _, apply := range []func(context.Context, *Fleet) error{
+		straggler, silentConnections, repartition, bundleChange, drain,
+	} {
+		if err := apply(ctx, f); err != nil {
+			return err
+		}
+	}
+	go every(ctx, outagePeriod, func() { f.Deployment.Config.Outage(standin.OutageHang, outageLength) })
+	return nil
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -50,8 +50,10 @@
 	mu      sync.Mutex
 	version int64 // guarded by mu; of the newest bundle
 
-	restarts sync.Mutex // held during a restart, so that Stop waits for it
-	stopped  bool       // guarded by restarts
+	restarts  sync.Mutex // held during a restart, so that Stop waits for it
+	stopped   bool       // guarded by restarts
+	restarted int        // guarded by restarts
+	failure   error      // guarded by restarts; the first one of a restart
 }
 
 // Start starts the platform and the instances and waits until all are ready.
@@ -180,6 +182,7 @@
 		return err
 	}
 	f.version++
+	f.Audit.Bundles.Published(f.version, time.Now())
 	return nil
 }
 
@@ -215,14 +218,21 @@
 }
 
 // Restart replaces one instance gracefully, as a rolling restart does: the
-// platform's list shows it as leaving only after a lag.
-func (f *Fleet) Restart(ctx context.Context, number int) error {
+// platform's list shows it as leaving only after a lag. It does nothing once
+// the fleet is stopped.
+func (f *Fleet) Restart(ctx context.Context, number int) {
 	f.restarts.Lock()
 	defer f.restarts.Unlock()
 	if f.stopped {
-		return eris.New("the fleet is stopped")
+		return
 	}
-	m := f.members[number]
+	if err := f.replace(ctx, f.members[number]); err != nil && f.failure == nil {
+		f.failure = err
+	}
+	f.restarted++
+}
+
+func (f *Fleet) replace(ctx context.Context, m *member) error {
 	m.setState(membership.StateLeaving)
 	lagging := time.AfterFunc(listLag, func() { _ = f.publishInstances() })
 	defer lagging.Stop()
@@ -236,6 +246,20 @@
 	return f.publishInstances()
 }
 
+// Restarts returns how often an instance was restarted.
+func (f *Fleet) Restarts() int {
+	f.restarts.Lock()
+	defer f.restarts.Unlock()
+	return f.restarted
+}
+
+// Failure returns the first error of a restart.
+func (f *Fleet) Failure() error {
+	f.restarts.Lock()
+	defer f.restarts.Unlock()
+	return f.failure
+}
+
 // Kill stops one instance at once; the platform's list keeps it.
 func (f *Fleet) Kill(number int) { f.members[number].kill() }
 
--- a/pkg/fleet/listeners.go
+++ b/pkg/fleet/listeners.go
@@ -2,9 +2,8 @@
 
 import (
 	"net"
-	"time"
 
-	"github.com/rotisserie/eris"
+	"github.com/sycamorelift/sycamorelift/pkg/standin"
 )
 
 // Listeners are the open sockets of an instance. They are opened before the
@@ -18,37 +17,16 @@
 func listen(caller, peer, operator string) (Listeners, error) {
 	var l Listeners
 	var err error
-	if l.Caller, err = listenOn(caller); err != nil {
+	if l.Caller, err = standin.Listen(caller); err != nil {
 		return l, err
 	}
-	if l.Peer, err = listenOn(peer); err != nil {
+	if l.Peer, err = standin.Listen(peer); err != nil {
 		return l, err
 	}
-	l.Operator, err = listenOn(operator)
+	l.Operator, err = standin.Listen(operator)
 	return l, err
 }
 
-// After a restart the port may still be held for a moment.
-const (
-	listenAttempts = 40
-	listenPause    = 50 * time.Millisecond
-)
-
-func listenOn(address string) (net.Listener, error) {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	var err error
-	for range listenAttempts {
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", address); err == nil {
-			return listener, nil
-		}
-		time.Sleep(listenPause)
-	}
-	return nil, eris.Wrap(err, "open a listener of an instance")
-}
-
 func (l Listeners) close() {
 	for _, listener := range []net.Listener{l.Caller, l.Peer, l.Operator} {
 		if listener != nil {
--- a/pkg/oracle/audit.go
+++ b/pkg/oracle/audit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/standin"
 )
@@ -14,6 +15,7 @@
 // is safe for concurrent use.
 type Audit struct {
 	executions Executions
+	Bundles    BundleLog
 
 	mu          sync.Mutex
 	checks      map[string]*SearchCheck        // guarded by mu; by service
@@ -61,15 +63,16 @@
 	a.checks[service] = check
 }
 
-// Answer checks the answer of a search and returns what is wrong with it.
-func (a *Audit) Answer(search Search, answer Answer) []Problem {
+// Answer checks the answer of a search that was sent at the given time and
+// returns what is wrong with it.
+func (a *Audit) Answer(search Search, answer Answer, sent time.Time) []Problem {
 	a.mu.Lock()
 	check := a.checks[search.Service]
 	a.mu.Unlock()
 	if check == nil {
 		return nil
 	}
-	problems := check.Check(search, answer)
+	problems := append(check.Check(search, answer), a.Bundles.Check(answer, sent)...)
 	a.add(problems...)
 	return problems
 }
--- a/pkg/oracle/audit_test.go
+++ b/pkg/oracle/audit_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -119,3 +120,19 @@
 	assert.Equal(t, audit.Count(WrongAnswer), 1)
 	assert.Equal(t, audit.Total(), 5)
 }
+
+// Guards against answers under a replaced bundle that go unnoticed, and against
+// false alarms while a bundle is on its way or its delivery can't be confirmed.
+func TestReplacedBundlesAreNoticed(t *testing.T) {
+	var log BundleLog
+	published := time.Unix(100, 0)
+	log.Published(1, published.Add(-time.Hour))
+	log.Published(2, published)
+	late := published.Add(BundleDelay + time.Millisecond)
+	assert.Equal(t, len(log.Check(Answer{BundleVersion: 1}, published.Add(BundleDelay))), 0)
+	assert.Equal(t, len(log.Check(Answer{BundleVersion: 1, StaleView: true}, late)), 0)
+	assert.Equal(t, len(log.Check(Answer{BundleVersion: 2}, late)), 0)
+	problems := log.Check(Answer{BundleVersion: 1}, late)
+	assert.Equal(t, len(problems), 1)
+	assert.Equal(t, problems[0].Kind, StaleBundle)
+}
--- /dev/null
+++ b/pkg/oracle/bundlelog.go
@@ -0,0 +1,55 @@
+package oracle
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// BundleDelay is the time within which a published bundle takes effect on every
+// instance.
+const BundleDelay = 3 * time.Second
+
+// BundleLog records when bundles were published, to check under which one
+// requests were decided. It is safe for concurrent use.
+type BundleLog struct {
+	mu        sync.Mutex
+	published []publication // guarded by mu; ascending versions
+}
+
+type publication struct {
+	version int64
+	at      time.Time
+}
+
+// Published records a bundle.
+func (l *BundleLog) Published(version int64, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.published = append(l.published, publication{version, at})
+}
+
+// Check returns the problem of an answer to a request sent at the given time.
+// An answer that says its view is stale is no problem: it tells that nobody
+// could confirm the bundle.
+func (l *BundleLog) Check(answer Answer, sent time.Time) []Problem {
+	required := l.required(sent)
+	if answer.StaleView || answer.BundleVersion >= required {
+		return nil
+	}
+	detail := fmt.Sprintf("decided under bundle %d, but %d was published more than %s before", answer.BundleVersion, required, BundleDelay)
+	return []Problem{{StaleBundle, answer.RequestID, detail}}
+}
+
+// required returns the newest version that must be in effect.
+func (l *BundleLog) required(sent time.Time) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var version int64
+	for _, p := range l.published {
+		if sent.Sub(p.at) > BundleDelay {
+			version = max(version, p.version)
+		}
+	}
+	return version
+}
--- a/pkg/oracle/problem.go
+++ b/pkg/oracle/problem.go
@@ -12,6 +12,7 @@
 	FalseCoverage      ProblemKind = "false-coverage"      // coverage differs from what the hits reflect
 	DuplicateExecution ProblemKind = "duplicate-execution" // a submission ran more than once
 	RefusedButRun      ProblemKind = "refused-but-run"     // a refusal says not-run, but it ran
+	StaleBundle        ProblemKind = "stale-bundle"        // decided under a bundle that was replaced long before
 	LostSubmission     ProblemKind = "lost-submission"     // reported as run, but it never ran
 )
 
--- a/pkg/standin/backendserver.go
+++ b/pkg/standin/backendserver.go
@@ -59,9 +59,6 @@
 		conns:   newConnTable(config.Service.Connections, config.Service.ConnectDelay),
 		random:  rand.New(rand.NewPCG(config.Seed, seed)),
 	}
-	if s.address == "" {
-		s.address = "127.0.0.1:0"
-	}
 	s.SetSnapshots(config.Snapshots...)
 	if err := s.Restore(); err != nil {
 		return nil, err
@@ -106,7 +103,7 @@
 	if s.life != nil || s.stopped {
 		return nil
 	}
-	listener, err := listenAgain(s.address)
+	listener, err := Listen(s.address)
 	if err != nil {
 		return eris.Wrapf(err, "backend server %s", s.config.Member.ID)
 	}
@@ -196,21 +193,3 @@
 	defer s.mu.Unlock()
 	return s.config.Service.Time.Sample(s.random)
 }
-
-// Another socket may hold the port for a moment after a server went down.
-const (
-	listenAttempts = 40
-	listenPause    = 50 * time.Millisecond
-)
-
-func listenAgain(address string) (net.Listener, error) {
-	var err error
-	for range listenAttempts {
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", address); err == nil {
-			return listener, nil
-		}
-		time.Sleep(listenPause)
-	}
-	return nil, err
-}
--- a/pkg/standin/configservice.go
+++ b/pkg/standin/configservice.go
@@ -63,10 +63,7 @@
 }
 
 func (s *ConfigService) listen(address string) (string, error) {
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := Listen(address)
 	if err != nil {
 		return "", eris.Wrap(err, "configuration service")
 	}
--- a/pkg/standin/peerlink.go
+++ b/pkg/standin/peerlink.go
@@ -31,7 +31,7 @@
 
 // Link starts a link to an instance and returns it.
 func (n *Network) Link(to membership.Instance) (*PeerLink, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := Listen("")
 	if err != nil {
 		return nil, eris.Wrapf(err, "link to instance %s", to.ID)
 	}
