--- a/pkg/controlplane/sim_bench_test.go
+++ b/pkg/controlplane/sim_bench_test.go
@@ -89,7 +89,9 @@
 
 // BenchmarkTraffic counts reads of the service and message bytes in virtual time:
 // 30 s quiet, then 10 s from a change of the bundle, then 10 s from a change of
-// the list of members. peerB/s/inst is what an instance sends to others in the
+// the list of members, and the most reads within one second at a simultaneous
+// start, with the service down, and with all instances cut off from each other
+// as well. peerB/s/inst is what an instance sends to others in the
 // mean; it receives as much. Protobuf without HTTP framing is counted.
 // bundle-last-ms is when the last instance holds the bundle; a reader's watch
 // sees a change up to 1 s late here, because calls take no virtual time. The
@@ -115,7 +117,17 @@
 				report(b, "quiet-", n, start, quiet)
 				report(b, "bundle-", n, quiet, bundle)
 				report(b, "members-", n, bundle, members)
-				b.ReportMetric(float64(n.service.mostReads(quiet.at, members.at)), "most-reads/s")
+				b.ReportMetric(float64(n.service.mostReads(n.service.began, start.at)), "start-most-reads/s")
+				b.ReportMetric(float64(n.service.mostReads(quiet.at, members.at)), "change-most-reads/s")
+				n.service.down = true
+				n.advance(10 * time.Second)
+				b.ReportMetric(float64(n.service.mostReads(members.at, n.now)), "down-most-reads/s")
+				for i, s := range n.alive {
+					n.groups[s.ID] = i
+				}
+				isolated := n.now
+				n.advance(10 * time.Second)
+				b.ReportMetric(float64(n.service.mostReads(isolated, n.now)), "isolated-most-reads/s")
 			}
 		})
 	}
--- a/pkg/controlplane/sim_service_test.go
+++ b/pkg/controlplane/sim_service_test.go
@@ -23,6 +23,7 @@
 	stale   map[string]int // revision shown to an instance, by id
 	shown   map[string]int // highest revision read by an instance, by id
 	reads   int64
+	began   time.Time
 	bytes   int64 // of documents and of the keys in changes
 	perTick map[time.Time]int
 	servers []membership.BackendServer
@@ -31,6 +32,7 @@
 func newSimService(n *simNetwork) *simService {
 	return &simService{
 		net:     n,
+		began:   n.now,
 		states:  []map[string]configclient.Document{{}},
 		stale:   make(map[string]int),
 		shown:   make(map[string]int),
