Apply rule limits, the freshness setting and refusals of invalid requests

Cause: the limits of coverage_below and crash_suspect rules were only names: an answer at coverage 0.6 passed a rule of 0.8. settings.freshness was read and not used. A query that a backend server cannot parse came back as a coverage shortage with the run unknown, and counted as an invalid reply of the server, so that one caller's bad queries could eject healthy replicas.

--- a/pkg/backend/refusal.go
+++ b/pkg/backend/refusal.go
@@ -13,6 +13,7 @@
 	NotRun  bool   `json:"not_run"`
 	Reason  string `json:"reason"`
 	Request string `json:"request"` // optional; must match when present
+	Detail  string `json:"detail"`  // optional; for example what is wrong with an invalid request
 }
 
 // refusalKey identifies a refusal of the protocol.
@@ -27,6 +28,7 @@
 	{http.StatusServiceUnavailable, "cold"}:     peerpb.ResultStatus_COLD,
 	{http.StatusGone, "snapshot-gone"}:          peerpb.ResultStatus_SNAPSHOT_GONE,
 	{http.StatusGatewayTimeout, "deadline"}:     peerpb.ResultStatus_DEADLINE,
+	{http.StatusBadRequest, "invalid-request"}:  peerpb.ResultStatus_REJECTED,
 }
 
 // parseRefusal turns a reply other than 200 into an error. Only the refusals
@@ -43,5 +45,12 @@
 	if body.Request != "" && body.Request != request {
 		return invalidReply("refusal of another request", nil).withState(r.state)
 	}
-	return notRun(status, "refused: "+body.Reason, nil).withState(r.state)
+	return notRun(status, body.describe(), nil).withState(r.state)
+}
+
+func (b refusal) describe() string {
+	if b.Detail == "" {
+		return "refused: " + b.Reason
+	}
+	return b.Reason + ": " + b.Detail
 }
--- a/pkg/controlplane/config.go
+++ b/pkg/controlplane/config.go
@@ -38,6 +38,9 @@
 	Now    func() time.Time
 	Rand   *rand.Rand // owned by the plane from then on
 	Logger *slog.Logger
+	// Freshness is the age of the last confirmation above which decisions wait
+	// for a refresh, FreshnessBound when 0.
+	Freshness time.Duration
 	// ExchangeInterval is the interval of the periodic exchange, 1 s when 0.
 	ExchangeInterval time.Duration
 }
--- a/pkg/controlplane/freshness.go
+++ b/pkg/controlplane/freshness.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// FreshnessBound is the age of the last confirmation above which no decision
+	// FreshnessBound is the default of Config.Freshness, the age of the last confirmation above which no decision
 	// is made without a refresh. With the 3 s in which a bundle takes effect it
 	// leaves 1 s for the spreading of a change.
 	FreshnessBound = 2 * time.Second
@@ -23,13 +23,17 @@
 // process that was paused may read an answer that is as old as the pause.
 type freshness struct {
 	start     time.Time
+	bound     time.Duration
 	confirmed atomic.Int64 // nanoseconds after start, 0 when never
 	failed    atomic.Int64 // end of the last refresh that reached nobody
 }
 
-func newFreshness(now time.Time) *freshness {
+func newFreshness(now time.Time, bound time.Duration) *freshness {
+	if bound <= 0 {
+		bound = FreshnessBound
+	}
 	// Starting in the past keeps the value 0 for "never".
-	return &freshness{start: now.Add(-time.Hour)}
+	return &freshness{start: now.Add(-time.Hour), bound: bound}
 }
 
 // confirm records an answer to a question that was sent at asked.
@@ -44,7 +48,7 @@
 
 // isFresh reports whether the documents were confirmed within the bound.
 func (f *freshness) isFresh(now time.Time) bool {
-	return f.within(f.confirmed.Load(), now, FreshnessBound)
+	return f.within(f.confirmed.Load(), now, f.bound)
 }
 
 // isPausing reports whether a refresh failed so recently that another one is
--- a/pkg/controlplane/plane.go
+++ b/pkg/controlplane/plane.go
@@ -75,7 +75,7 @@
 		now:         config.Now,
 		log:         orDiscard(config.Logger),
 		interval:    config.ExchangeInterval,
-		fresh:       newFreshness(config.Now()),
+		fresh:       newFreshness(config.Now(), config.Freshness),
 		random:      config.Rand,
 		wanted:      newWanted(),
 		notices:     newNoticeBoard(),
--- a/pkg/entry/finish.go
+++ b/pkg/entry/finish.go
@@ -14,7 +14,7 @@
 // answer returns the answer, or a refusal below the minimum coverage.
 func (q *query) answer() (*Answer, error) {
 	report := q.account.Report(q.pendingReason())
-	if report.Fraction < q.policy.MinCoverage {
+	if report.Fraction < leastCoverage(q.policy) {
 		return nil, q.refuseCoverage(report)
 	}
 	return &Answer{
@@ -62,9 +62,9 @@
 func (q *query) refuseCoverage(report coverage.Report) *Refusal {
 	possible := q.account.Reachable()
 	detail := fmt.Sprintf("covered %.4f, at most %.4f reachable, %.4f required; first missing: %s",
-		report.Fraction, possible, q.policy.MinCoverage, firstMissing(report))
+		report.Fraction, possible, leastCoverage(q.policy), firstMissing(report))
 	statement := q.record.statement()
-	if rule := findRule(q.policy, bundle.RuleCoverageBelow); rule != nil {
+	if rule := findRule(q.policy, bundle.RuleCoverageBelow); rule != nil && report.Fraction < rule.Limit {
 		return byRule(q.policy, rule, statement, detail)
 	}
 	refusal := shortage(statement, "coverage", detail)
--- a/pkg/entry/query.go
+++ b/pkg/entry/query.go
@@ -128,7 +128,7 @@
 	if q.entry.config.Options.DisableSoftStop {
 		return false
 	}
-	return q.account.Reachable() < q.policy.MinCoverage
+	return q.account.Reachable() < leastCoverage(q.policy)
 }
 
 // abandon settles the books for attempts whose result nobody waits for.
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -148,10 +148,12 @@
 	switch result.Status {
 	case peerpb.ResultStatus_SNAPSHOT_GONE:
 		return q.handleSnapshotGone(ctx, a.shard)
+	case peerpb.ResultStatus_REJECTED:
+		return rejected(q.record.statement(), result.Detail)
 	case peerpb.ResultStatus_QUARANTINED:
 		return refuseCrashing(q.policy, q.record.statement(), errors.New(result.Detail))
 	case peerpb.ResultStatus_CRASHED:
-		if q.policy.CrashLimit > 0 && q.crashes >= q.policy.CrashLimit && q.held {
+		if limit := crashLimit(q.policy); limit > 0 && q.crashes >= limit && q.held {
 			return refuseCrashing(q.policy, Unknown, errors.New("the request crashed backend servers that ran it"))
 		}
 	}
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -55,6 +55,14 @@
 	return &Refusal{Refused: true, Run: NotRun, Status: status, Reason: Reason{Kind: ReasonInvalid, Detail: detail}}
 }
 
+// rejected returns a refusal for a request that a backend server cannot
+// understand. Other shards may have run it.
+func rejected(run RunStatement, detail string) *Refusal {
+	refusal := invalid(http.StatusBadRequest, detail)
+	refusal.Run = run
+	return refusal
+}
+
 // shortage returns a refusal for a missing resource.
 func shortage(run RunStatement, name, detail string) *Refusal {
 	return &Refusal{
--- a/pkg/entry/rules.go
+++ b/pkg/entry/rules.go
@@ -95,6 +95,29 @@
 	}
 }
 
+// leastCoverage returns the coverage below which the class gets no answer: the
+// class's minimum, or the limit of a coverage rule when that is stricter.
+func leastCoverage(p bundle.Policy) float64 {
+	rule := findRule(p, bundle.RuleCoverageBelow)
+	if rule == nil {
+		return p.MinCoverage
+	}
+	return max(p.MinCoverage, rule.Limit)
+}
+
+// crashLimit returns the number of backend servers that one request may crash:
+// the service's limit, or that of a crash rule when it is stricter.
+func crashLimit(p bundle.Policy) int {
+	rule := findRule(p, bundle.RuleCrashSuspect)
+	if rule == nil || rule.Limit < 1 {
+		return p.CrashLimit
+	}
+	if p.CrashLimit == 0 {
+		return int(rule.Limit)
+	}
+	return min(p.CrashLimit, int(rule.Limit))
+}
+
 // findRule returns the class's first rule of a kind, or nil.
 func findRule(p bundle.Policy, kind bundle.RuleKind) *bundle.Rule {
 	for i := range p.Rules {
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -103,7 +103,7 @@
 // first is no longer served and time allows.
 func (e *Entry) searchSnapshots(ctx context.Context, request SearchRequest, policy bundle.Policy, arrived time.Time) (*Answer, error) {
 	fingerprint := crashguard.Fingerprint(request.Team, request.Service, request.Query)
-	if err := e.config.Guard.Admit(fingerprint, policy.CrashLimit, arrived); err != nil {
+	if err := e.config.Guard.Admit(fingerprint, crashLimit(policy), arrived); err != nil {
 		return nil, refuseCrashing(policy, NotRun, err)
 	}
 	excluded := make(map[int64]bool)
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -171,7 +171,7 @@
 		Fingerprint: q.fingerprint,
 		Slots:       int32(q.policy.Slots),
 		Connections: int32(q.policy.Connections),
-		CrashLimit:  int32(q.policy.CrashLimit),
+		CrashLimit:  int32(crashLimit(q.policy)),
 	}
 	for _, a := range d.attempts {
 		message.Attempts = append(message.Attempts, &peerpb.ShardAttempt{
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -113,6 +113,7 @@
 		Now:         time.Now,
 		Rand:        i.random(1),
 		Logger:      i.logger,
+		Freshness:   i.settings.Freshness,
 	})
 	return nil
 }
--- a/pkg/standin/backendhandler.go
+++ b/pkg/standin/backendhandler.go
@@ -126,7 +126,7 @@
 }
 
 func (c *call) invalid(detail string) {
-	c.reply(http.StatusBadRequest, mustJSON(errorReply{Error: detail}))
+	c.reply(http.StatusBadRequest, mustJSON(refusalReply{NotRun: true, Reason: refusalInvalid, Detail: detail}))
 }
 
 // reply sends after the network delay; a process that is down sends nothing.
--- a/pkg/standin/backendprotocol.go
+++ b/pkg/standin/backendprotocol.go
@@ -66,6 +66,7 @@
 type refusalReply struct {
 	NotRun bool    `json:"not_run"`
 	Reason refusal `json:"reason"`
+	Detail string  `json:"detail,omitempty"`
 }
 
 type errorReply struct {
--- a/pkg/standin/slotgate.go
+++ b/pkg/standin/slotgate.go
@@ -19,6 +19,7 @@
 	refusalCold         refusal = "cold"
 	refusalSnapshotGone refusal = "snapshot-gone"
 	refusalDeadline     refusal = "deadline"
+	refusalInvalid      refusal = "invalid-request"
 	refusalCancelled    refusal = "cancelled" // the caller is gone; nothing is sent
 )
 
