Drop the oldest notice when too many are held

A burst of crash notices filled the buffer and new drain notices were ignored until old ones expired. Also names the index of the published list and the buffer of notices by their usual terms.

--- a/pkg/controlplane/noticeboard.go
+++ b/pkg/controlplane/noticebuffer.go
@@ -20,7 +20,7 @@
 	noticeMaxAge = 30 * time.Second
 	// maxNoticesPerMessage keeps a message small when many notices are young.
 	maxNoticesPerMessage = 64
-	// maxNotices bounds the memory of a burst.
+	// maxNotices bounds the memory of a burst; the oldest are dropped then.
 	maxNotices = 4096
 )
 
@@ -31,65 +31,72 @@
 	fingerprint          uint64
 }
 
-type postedNotice struct {
+type noticeEntry struct {
 	notice   *peerpb.Notice
 	observed time.Time
 	sends    int // left
 }
 
-// noticeBoard holds the notices that this instance has seen and decides which
+// noticeBuffer holds the notices that this instance has seen and decides which
 // ones it forwards. It is not safe for concurrent use.
-type noticeBoard struct {
-	posted map[noticeKey]*postedNotice
-	order  []noticeKey // oldest first
+type noticeBuffer struct {
+	entries map[noticeKey]*noticeEntry
+	order   []noticeKey // oldest first
 }
 
-func newNoticeBoard() *noticeBoard {
-	return &noticeBoard{posted: make(map[noticeKey]*postedNotice)}
+func newNoticeBuffer() *noticeBuffer {
+	return &noticeBuffer{entries: make(map[noticeKey]*noticeEntry)}
 }
 
-// post adds a notice. It returns the time of the observation and whether the
+// add takes over a notice. It returns the time of the observation and whether the
 // notice is new and young enough to count.
-func (b *noticeBoard) post(n *peerpb.Notice, now time.Time) (observed time.Time, isNew bool) {
+func (b *noticeBuffer) add(n *peerpb.Notice, now time.Time) (observed time.Time, isNew bool) {
 	b.expire(now)
 	age := time.Duration(max(n.GetAgeMs(), 0)) * time.Millisecond
 	key := noticeKey{n.GetKind(), n.GetSubject(), n.GetIncarnation(), n.GetFingerprint()}
-	if _, known := b.posted[key]; known || age >= noticeMaxAge || len(b.posted) >= maxNotices {
+	if _, known := b.entries[key]; known || age >= noticeMaxAge {
 		return time.Time{}, false
 	}
+	if len(b.order) >= maxNotices {
+		b.dropOldest()
+	}
 	observed = now.Add(-age)
-	b.posted[key] = &postedNotice{notice: proto.CloneOf(n), observed: observed, sends: noticeSends}
+	b.entries[key] = &noticeEntry{notice: proto.CloneOf(n), observed: observed, sends: noticeSends}
 	b.order = append(b.order, key)
 	return observed, true
 }
 
 // outgoing returns the notices for one message, youngest first, and counts them
 // as forwarded once.
-func (b *noticeBoard) outgoing(now time.Time) []*peerpb.Notice {
+func (b *noticeBuffer) outgoing(now time.Time) []*peerpb.Notice {
 	var out []*peerpb.Notice
 	for i := len(b.order) - 1; i >= 0 && len(out) < maxNoticesPerMessage; i-- {
-		p := b.posted[b.order[i]]
-		age := now.Sub(p.observed)
-		if p.sends == 0 || age >= noticeForwardAge {
+		entry := b.entries[b.order[i]]
+		age := now.Sub(entry.observed)
+		if entry.sends == 0 || age >= noticeForwardAge {
 			continue
 		}
-		p.sends--
-		n := proto.CloneOf(p.notice)
+		entry.sends--
+		n := proto.CloneOf(entry.notice)
 		n.AgeMs = age.Milliseconds()
 		out = append(out, n)
 	}
 	return out
 }
 
-// expire forgets the oldest notices. Notices are posted in the order of their
+// expire forgets the oldest notices. Notices are added in the order of their
 // arrival, so an old observation that arrived late is kept a little longer.
-func (b *noticeBoard) expire(now time.Time) {
+func (b *noticeBuffer) expire(now time.Time) {
 	for len(b.order) > 0 {
-		p := b.posted[b.order[0]]
-		if now.Sub(p.observed) < noticeMaxAge {
+		oldest := b.entries[b.order[0]]
+		if now.Sub(oldest.observed) < noticeMaxAge {
 			return
 		}
-		delete(b.posted, b.order[0])
-		b.order = b.order[1:]
+		b.dropOldest()
 	}
 }
+
+func (b *noticeBuffer) dropOldest() {
+	delete(b.entries, b.order[0])
+	b.order = b.order[1:]
+}
--- a/pkg/controlplane/notices.go
+++ b/pkg/controlplane/notices.go
@@ -16,7 +16,7 @@
 // that was seen before or is too old is dropped.
 func (p *Plane) AddNotice(notice *peerpb.Notice) {
 	p.mu.Lock()
-	observed, isNew := p.notices.post(notice, p.now())
+	observed, isNew := p.notices.add(notice, p.now())
 	listeners := p.listeners
 	p.mu.Unlock()
 	if !isNew {
--- a/pkg/controlplane/plane.go
+++ b/pkg/controlplane/plane.go
@@ -56,7 +56,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand             // guarded by mu
 	wanted    *wanted                // guarded by mu
-	notices   *noticeBoard           // guarded by mu
+	notices   *noticeBuffer          // guarded by mu
 	policy    *readPolicy            // guarded by mu
 	reads     *readState             // guarded by mu
 	listeners []func(*peerpb.Notice) // guarded by mu
@@ -78,7 +78,7 @@
 		fresh:       newFreshness(config.Now()),
 		random:      config.Rand,
 		wanted:      newWanted(),
-		notices:     newNoticeBoard(),
+		notices:     newNoticeBuffer(),
 		policy:      &readPolicy{self: config.Self, random: config.Rand},
 		reads:       newReadState(),
 		spawn:       func(f func()) { go f() },
--- a/pkg/membership/build.go
+++ b/pkg/membership/build.go
@@ -14,7 +14,7 @@
 
 // build computes the epoch that holds at now. Caller holds v.mu.
 func (v *View) build(now time.Time) *epoch {
-	e := &epoch{roster: v.roster.Load()}
+	e := &epoch{index: v.index.Load()}
 	usable := v.usable(e, now)
 	for _, c := range usable {
 		e.usable = append(e.usable, c.Instance)
@@ -32,8 +32,8 @@
 // usable returns the live instances without drain notice or suspicion. When
 // nothing is left, this instance alone is usable: it can always reach itself.
 func (v *View) usable(e *epoch, now time.Time) []candidate {
-	live := make([]candidate, 0, len(e.roster.instances))
-	for _, c := range e.roster.instances {
+	live := make([]candidate, 0, len(e.index.instances))
+	for _, c := range e.index.instances {
 		if c.State == StateLeaving {
 			continue
 		}
@@ -85,7 +85,7 @@
 func (v *View) reduce(e *epoch, now time.Time) {
 	e.reduced = make(map[shardKey][]BackendServer)
 	for _, id := range v.drainedServers.draining(now) {
-		server, listed := e.roster.servers[id]
+		server, listed := e.index.servers[id]
 		if !listed {
 			continue
 		}
@@ -94,7 +94,7 @@
 		if _, done := e.reduced[key]; done {
 			continue
 		}
-		e.reduced[key] = v.withoutDraining(e.roster.shards[key], now)
+		e.reduced[key] = v.withoutDraining(e.index.shards[key], now)
 	}
 }
 
--- a/pkg/membership/epoch.go
+++ b/pkg/membership/epoch.go
@@ -11,10 +11,10 @@
 // shared between.
 const maxRanks = 3
 
-// epoch is the result of a roster, the drain notices and the suspicions that
+// epoch is the result of a list, the drain notices and the suspicions that
 // hold at one time. It is immutable, so readers need no lock.
 type epoch struct {
-	roster     *roster
+	index      *memberIndex
 	validUntil time.Time // zero when nothing expires by itself
 	usable     []Instance
 	owners     map[string][]Instance // by backend server id, rank 1 first
@@ -26,7 +26,7 @@
 // sameOwners reports whether the rankings of old hold for e as well: drain
 // notices of backend servers, the usual change, do not affect them.
 func (e *epoch) sameOwners(old *epoch) bool {
-	return old != nil && old.roster == e.roster && slices.Equal(old.usable, e.usable)
+	return old != nil && old.index == e.index && slices.Equal(old.usable, e.usable)
 }
 
 // validAt reports whether no notice or suspicion has expired since.
@@ -46,14 +46,13 @@
 
 // rank fills owners and owned from the usable instances.
 func (e *epoch) rank(usable []candidate, self string) {
-	r := e.roster
 	zones := make(map[string][]candidate)
 	for _, c := range usable {
 		zones[c.Zone] = append(zones[c.Zone], c)
 	}
 	others := make(map[string][]candidate)
-	e.owners = make(map[string][]Instance, len(r.servers))
-	for id, server := range r.servers {
+	e.owners = make(map[string][]Instance, len(e.index.servers))
+	for id, server := range e.index.servers {
 		hash := xxhash.Sum64String(id)
 		owners := top(make([]Instance, 0, maxRanks), hash, zones[server.Zone], maxRanks)
 		if len(owners) < maxRanks {
--- a/pkg/membership/roster.go
+++ b/pkg/membership/memberindex.go
@@ -11,8 +11,8 @@
 	shard         int
 }
 
-// roster indexes one published list. It is immutable.
-type roster struct {
+// memberIndex indexes one published list. It is immutable.
+type memberIndex struct {
 	revision  int64
 	instances []candidate // by id
 	listed    []Instance  // the same without hashes
@@ -21,39 +21,39 @@
 	shards    map[shardKey][]BackendServer // by replica, without leaving ones
 }
 
-// newRoster indexes m. Entries are sorted, so that the order of the published
+// newMemberIndex indexes m. Entries are sorted, so that the order of the published
 // list has no influence.
-func newRoster(m Members, revision int64) *roster {
-	r := &roster{
+func newMemberIndex(m Members, revision int64) *memberIndex {
+	x := &memberIndex{
 		revision: revision,
 		byID:     make(map[string]Instance, len(m.Instances)),
 		servers:  make(map[string]BackendServer, len(m.BackendServers)),
 		shards:   make(map[shardKey][]BackendServer),
 	}
 	for _, instance := range m.Instances {
-		r.byID[instance.ID] = instance
+		x.byID[instance.ID] = instance
 	}
-	for _, instance := range r.byID {
-		r.instances = append(r.instances, newCandidate(instance))
+	for _, instance := range x.byID {
+		x.instances = append(x.instances, newCandidate(instance))
 	}
-	slices.SortFunc(r.instances, func(a, b candidate) int { return cmp.Compare(a.ID, b.ID) })
-	for _, c := range r.instances {
-		r.listed = append(r.listed, c.Instance)
+	slices.SortFunc(x.instances, func(a, b candidate) int { return cmp.Compare(a.ID, b.ID) })
+	for _, c := range x.instances {
+		x.listed = append(x.listed, c.Instance)
 	}
 	for _, server := range m.BackendServers {
-		r.servers[server.ID] = server
+		x.servers[server.ID] = server
 	}
-	for _, server := range r.servers {
+	for _, server := range x.servers {
 		if server.State == StateLeaving {
 			continue
 		}
 		key := shardKey{server.Team, server.Service, server.Shard}
-		r.shards[key] = append(r.shards[key], server)
+		x.shards[key] = append(x.shards[key], server)
 	}
-	for _, replicas := range r.shards {
+	for _, replicas := range x.shards {
 		slices.SortFunc(replicas, compareReplicas)
 	}
-	return r
+	return x
 }
 
 func compareReplicas(a, b BackendServer) int {
@@ -61,18 +61,18 @@
 }
 
 // instanceStates returns the state of every listed instance.
-func (r *roster) instanceStates() map[string]State {
-	states := make(map[string]State, len(r.byID))
-	for id, instance := range r.byID {
+func (x *memberIndex) instanceStates() map[string]State {
+	states := make(map[string]State, len(x.byID))
+	for id, instance := range x.byID {
 		states[id] = instance.State
 	}
 	return states
 }
 
 // serverStates returns the state of every listed backend server.
-func (r *roster) serverStates() map[string]State {
-	states := make(map[string]State, len(r.servers))
-	for id, server := range r.servers {
+func (x *memberIndex) serverStates() map[string]State {
+	states := make(map[string]State, len(x.servers))
+	for id, server := range x.servers {
 		states[id] = server.State
 	}
 	return states
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -14,7 +14,7 @@
 	selfID   string
 	selfZone string
 
-	roster  atomic.Pointer[roster]
+	index   atomic.Pointer[memberIndex]
 	current atomic.Pointer[epoch] // nil after a change, until the next read
 
 	// lastSeen holds the incarnation seen last by seenKey; it is written with mu
@@ -38,7 +38,7 @@
 		drainedInstances: newDrainLedger(),
 		suspicion:        newSuspicion(),
 	}
-	v.roster.Store(newRoster(Members{}, -1))
+	v.index.Store(newMemberIndex(Members{}, -1))
 	return v
 }
 
@@ -47,10 +47,10 @@
 func (v *View) Apply(m Members, revision int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if revision <= v.roster.Load().revision {
+	if revision <= v.index.Load().revision {
 		return
 	}
-	v.replace(newRoster(m, revision))
+	v.replace(newMemberIndex(m, revision))
 }
 
 // Replace is Apply for a list that the caller has already ordered: it also
@@ -58,25 +58,25 @@
 func (v *View) Replace(m Members, revision int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if revision < v.roster.Load().revision {
+	if revision < v.index.Load().revision {
 		return
 	}
-	v.replace(newRoster(m, revision))
+	v.replace(newMemberIndex(m, revision))
 }
 
-// replace installs r. Caller holds v.mu.
-func (v *View) replace(r *roster) {
-	v.roster.Store(r)
-	v.drainedServers.settle(r.serverStates())
-	v.drainedInstances.settle(r.instanceStates())
-	v.suspicion.settle(r.instanceStates())
+// replace installs x. Caller holds v.mu.
+func (v *View) replace(x *memberIndex) {
+	v.index.Store(x)
+	v.drainedServers.settle(x.serverStates())
+	v.drainedInstances.settle(x.instanceStates())
+	v.suspicion.settle(x.instanceStates())
 	v.lastSeen.Clear()
 	v.current.Store(nil)
 }
 
 // Revision returns the revision of the applied list, -1 before the first.
 func (v *View) Revision() int64 {
-	return v.roster.Load().revision
+	return v.index.Load().revision
 }
 
 // epochAt returns the epoch that holds at now.
@@ -120,7 +120,7 @@
 	if reduced, ok := e.reduced[key]; ok {
 		return reduced
 	}
-	return e.roster.shards[key]
+	return e.index.shards[key]
 }
 
 // Instances returns the usable instances by id: live, not draining and not
@@ -131,17 +131,17 @@
 
 // Server returns a listed backend server in any state.
 func (v *View) Server(id string) (BackendServer, bool) {
-	server, ok := v.roster.Load().servers[id]
+	server, ok := v.index.Load().servers[id]
 	return server, ok
 }
 
 // Instance returns a listed instance in any state.
 func (v *View) Instance(id string) (Instance, bool) {
-	instance, ok := v.roster.Load().byID[id]
+	instance, ok := v.index.Load().byID[id]
 	return instance, ok
 }
 
 // Listed returns all listed instances by id, in any state.
 func (v *View) Listed() []Instance {
-	return v.roster.Load().listed
+	return v.index.Load().listed
 }
