Confirm crashes by incarnation and follow the pace of a backend server

Logs showed 113 connections in 15 s given up as unresponsive after the fixed 80 ms, which closes a healthy connection, cancels the running request and repeats it. A connection that a server closes was taken for a crash. Ruled out: more connections than the limit; owners use at most two per slot queue. Change: the progress limit is at least 80 ms and three times the recent peak of the server's reply time; a lost connection counts as a crash only when the server refuses connections or has a new incarnation.

--- /dev/null
+++ b/pkg/backend/confirmcrash_test.go
@@ -0,0 +1,77 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"gotest.tools/v3/assert"
+)
+
+// closingServer closes the connection of every search without a reply and
+// answers pings; with restart set, each search starts a new incarnation.
+func closingServer(t *testing.T, restart bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var incarnation atomic.Int64
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/ping", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderIncarnation, string(rune('a'+incarnation.Load())))
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("/v1/search", func(http.ResponseWriter, *http.Request) {
+		if restart {
+			incarnation.Add(1)
+		}
+		panic(http.ErrAbortHandler)
+	})
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func searchStatus(t *testing.T, address string) peerpb.ResultStatus {
+	t.Helper()
+	pool := NewPool(membership.BackendServer{ID: "s", Address: address}, Options{Connections: 2})
+	defer pool.Close()
+	pool.sawIncarnation("a")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := pool.Search(ctx, SearchCall{Request: "r", Attempt: 1, Snapshot: 1})
+	var failure *CallError
+	assert.Assert(t, errors.As(err, &failure))
+	return failure.Status
+}
+
+// Guards against innocent requests that are quarantined because a healthy
+// backend server closed a connection, for example at its connection limit.
+func TestClosedConnectionIsNoCrash(t *testing.T) {
+	assert.Equal(t, searchStatus(t, closingServer(t, false)), peerpb.ResultStatus_UNREACHABLE)
+}
+
+// Guards against a crash that is missed because the server restarted at once.
+func TestRestartIsACrash(t *testing.T) {
+	assert.Equal(t, searchStatus(t, closingServer(t, true)), peerpb.ResultStatus_CRASHED)
+}
+
+// Guards against taking a slow server for an unresponsive connection for good.
+func TestProgressLimitFollowsThePace(t *testing.T) {
+	var p pace
+	const least = 80 * time.Millisecond
+	assert.Equal(t, p.limit(least), least)
+	p.record(100 * time.Millisecond)
+	assert.Equal(t, p.limit(least), 300*time.Millisecond)
+	for range 200 {
+		p.record(5 * time.Millisecond)
+	}
+	assert.Equal(t, p.limit(least), least)
+}
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -29,12 +29,7 @@
 // newRequest builds the HTTP request of a call. Connection reuse is HTTP/1.1's
 // default; submissions ask the server to close.
 func (p *Pool) newRequest(ctx context.Context, path string, body []byte) (*http.Request, error) {
-	scheme := "http"
-	if p.opts.TLS != nil {
-		scheme = "https"
-	}
-	url := scheme + "://" + p.server.Address + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url(path), bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
@@ -51,6 +46,14 @@
 	return req, nil
 }
 
+func (p *Pool) url(path string) string {
+	scheme := "http"
+	if p.opts.TLS != nil {
+		scheme = "https"
+	}
+	return scheme + "://" + p.server.Address + path
+}
+
 // exchange writes the request and reads the whole reply. Cancellation of the
 // context closes the connection, which cancels the request at the server.
 func (p *Pool) exchange(ctx context.Context, conn *connection, req *http.Request, progress time.Duration) (*reply, error) {
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -27,6 +27,9 @@
 	open    int             // idle, used and being dialled
 	limit   int
 	closed  bool
+
+	incarnation string // of the latest reply
+	pace        pace
 }
 
 // NewPool returns a pool without open connections.
--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -30,8 +30,8 @@
 
 // Search runs one search attempt. Its error is a *CallError.
 //
-// A reused connection on which nothing arrives within the progress timeout may
-// have become unresponsive while the server is healthy. The pool then closes
+// A reused connection that is lost, or on which nothing arrives within the
+// progress timeout, may be at fault while the server is healthy. The pool then closes
 // its other idle connections and tries once on a new one before it blames the
 // server. Searches are idempotent, so this is safe.
 func (p *Pool) Search(ctx context.Context, call SearchCall) (*SearchReply, error) {
@@ -70,16 +70,26 @@
 		return nil, false, notRun(peerpb.ResultStatus_INVALID_REPLY, err.Error(), err)
 	}
 	start := time.Now()
-	r, err := p.exchange(ctx, conn, req, p.opts.ProgressTimeout)
+	r, err := p.exchange(ctx, conn, req, p.progressLimit())
 	if err != nil {
 		failure := classify(ctx, conn, err)
 		p.discard(conn)
+		if failure.Status == peerpb.ResultStatus_CRASHED && !p.confirmCrash(ctx) {
+			failure.Status = peerpb.ResultStatus_UNREACHABLE
+		}
 		silent = conn.reused && conn.received == 0 && failure.Status == peerpb.ResultStatus_UNREACHABLE
 		if silent {
 			p.reportSilent(start)
 		}
+		if !conn.reused {
+			// The silence of a new connection is that of the server, which may
+			// only be slow; without this the limit could never rise to its pace.
+			p.replied(time.Since(start))
+		}
 		return nil, silent, failure
 	}
+	p.replied(time.Since(start))
+	p.sawIncarnation(r.state.Incarnation)
 	result, err = parseSearchReply(r, call)
 	p.finish(ctx, conn, r, err)
 	return result, false, err
