Move the canary to another shard after a crash

Cause: the second canary went to the other replica of the same shard, so a request that crashes servers took down a whole shard and innocent callers lost its range until a restart. Change: after a crash the next canary is on another shard, which the fingerprint decides as well.

--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -200,9 +200,15 @@
 }
 
 // retryCanary asks the canary's next replica, or another shard when the
-// canary's shard has none left.
+// canary's shard has none left. After a crash it asks another shard at once: a
+// request that crashes servers must not take down all replicas of one shard.
 func (q *query) retryCanary(ctx context.Context, s *shardState) {
-	if _, ok := s.next(); ok {
+	_, ok := s.next()
+	if ok && s.lastError == peerpb.ResultStatus_CRASHED.String() {
+		q.sendCanary(ctx)
+		return
+	}
+	if ok {
 		q.send(ctx, []*shardState{s}, false)
 		return
 	}
@@ -225,6 +231,15 @@
 	q.account.Fail(s.partition.Shard, reason)
 }
 
+// failOpen gives up every shard that is not running.
+func (q *query) failOpen(reason string) {
+	for _, s := range q.shards {
+		if s.running == 0 {
+			q.fail(s, reason)
+		}
+	}
+}
+
 // handleLostOwner sends the attempts of a broken stream to the next owner of
 // the same backend servers.
 func (q *query) handleLostOwner(ctx context.Context, d *dispatch, cause error) {
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -33,15 +33,16 @@
 func (q *query) sendCanary(ctx context.Context) {
 	candidates := make([]int, 0, len(q.shards))
 	for _, s := range q.shards {
-		if _, ok := s.next(); ok && !s.done {
+		if _, ok := s.next(); ok && !s.done && !s.canary {
 			candidates = append(candidates, s.partition.Shard)
 		}
 	}
 	if len(candidates) == 0 {
-		q.release(ctx)
+		q.failOpen("no canary could be asked")
 		return
 	}
 	s := q.byShard[q.entry.config.Guard.CanaryShard(q.fingerprint, candidates)]
+	s.canary = true
 	q.orderByFingerprint(s.replicas)
 	q.send(ctx, []*shardState{s}, false)
 }
--- a/pkg/entry/shardstate.go
+++ b/pkg/entry/shardstate.go
@@ -14,6 +14,7 @@
 	running   int                        // attempts without a result
 	done      bool                       // answered or failed
 	hedged    bool
+	canary    bool // was asked first for this query
 	hits      []*peerpb.Hit
 	lastError string
 }
