Ask further peers while the first ones do not answer

A refresh asked five peers and waited for all of them. When these did not answer at all, as behind a partition that drops packets, the 300 ms passed before others were asked. A call that the refresh gives up itself no longer counts as a failure of the peer.

--- a/pkg/controlplane/exchange.go
+++ b/pkg/controlplane/exchange.go
@@ -65,7 +65,7 @@
 func (p *Plane) exchangeWith(ctx context.Context, partner membership.Instance) bool {
 	asked := p.now()
 	reply, err := p.callExchange(ctx, partner)
-	p.view.ReportCall(partner.ID, err == nil, p.now())
+	p.reportCall(ctx, partner, err)
 	if err != nil {
 		return false
 	}
@@ -84,6 +84,13 @@
 	return true
 }
 
+// reportCall records the result of a call, unless the caller gave it up itself.
+func (p *Plane) reportCall(ctx context.Context, partner membership.Instance, err error) {
+	if err == nil || ctx.Err() == nil {
+		p.view.ReportCall(partner.ID, err == nil, p.now())
+	}
+}
+
 func (p *Plane) callExchange(ctx context.Context, partner membership.Instance) (*peerpb.ExchangeReply, error) {
 	ctx, cancel := p.withTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/pkg/controlplane/fetch.go
+++ b/pkg/controlplane/fetch.go
@@ -110,13 +110,13 @@
 	if !ok {
 		return &UnavailableError{What: "document " + order.version.Key}
 	}
-	ctx, cancel := p.withTimeout(ctx, fetchTimeout)
+	bounded, cancel := p.withTimeout(ctx, fetchTimeout)
 	defer cancel()
-	reply, err := p.peers.FetchDocument(ctx, source, &peerpb.FetchDocumentRequest{
+	reply, err := p.peers.FetchDocument(bounded, source, &peerpb.FetchDocumentRequest{
 		Sender: p.Sender(),
 		Key:    order.version.Key,
 	})
-	p.view.ReportCall(source.ID, err == nil, p.now())
+	p.reportCall(ctx, source, err)
 	if err != nil {
 		return err
 	}
--- a/pkg/controlplane/freshness.go
+++ b/pkg/controlplane/freshness.go
@@ -13,6 +13,9 @@
 	// refreshTimeout bounds the wait of a decision for a refresh; after it,
 	// availability comes before freshness.
 	refreshTimeout = 300 * time.Millisecond
+	// refreshSettle is the time in which every live peer answers: several round
+	// trips between zones, so that one lost packet is repeated.
+	refreshSettle = 100 * time.Millisecond
 	// refreshPause is the time after a refresh that reached nobody in which
 	// decisions do not wait for another one.
 	refreshPause = 250 * time.Millisecond
--- a/pkg/controlplane/refresh.go
+++ b/pkg/controlplane/refresh.go
@@ -47,50 +47,32 @@
 	return ok, nil
 }
 
-// refresh asks the service and several peers at once. When none of them answers
-// it asks further peers, because the first ones may all be on the other side of
+// refresh asks the service and several peers at once. Most of them have to
+// confirm the documents, because a single answer may come from a stale service
+// or from a peer that was paused itself. After refreshSettle those that have not
+// answered count as unreachable, and one confirmation suffices; without any, all
+// further peers are asked, since the first ones may all be on the other side of
 // a partition.
 func (p *Plane) refresh(ctx context.Context) bool {
 	partners := p.partnersAcrossZones(maxRefreshPeers)
-	for len(partners) > refreshPeers && ctx.Err() == nil {
-		if p.refreshFrom(ctx, partners[:refreshPeers]) {
-			return true
-		}
-		partners = partners[refreshPeers:]
-	}
-	return p.refreshFrom(ctx, partners)
-}
-
-// refreshFrom ends when the service and all partners have answered or failed,
-// when most of them have confirmed, or with ctx.
-func (p *Plane) refreshFrom(ctx context.Context, partners []membership.Instance) bool {
-	answers := make(chan bool, len(partners)+1)
-	p.spawn(func() {
+	first := partners[:min(refreshPeers, len(partners))]
+	round := newRefreshRound(len(partners) + 1)
+	round.ask(p.spawn, func() bool {
 		_, err := p.readService(ctx, 0)
-		answers <- err == nil
+		return err == nil
 	})
-	for _, partner := range partners {
-		p.spawn(func() { answers <- p.exchangeWith(ctx, partner) })
+	p.askPartners(ctx, round, first)
+	round.collect(ctx, refreshSettle, round.majority())
+	if round.confirmed > 0 {
+		return true
 	}
-	return p.gather(ctx, answers, len(partners)+1)
+	p.askPartners(ctx, round, partners[len(first):])
+	round.collect(ctx, refreshTimeout, 1)
+	return round.confirmed > 0
 }
 
-// gather counts answers until they suffice. Any answer confirms the documents
-// when ctx ends, but until then the others may still hold higher ones.
-func (p *Plane) gather(ctx context.Context, answers <-chan bool, asked int) bool {
-	confirmed := 0
-	for range asked {
-		select {
-		case ok := <-answers:
-			if ok {
-				confirmed++
-			}
-		case <-ctx.Done():
-			return confirmed > 0
-		}
-		if confirmed > asked/2 {
-			return true
-		}
+func (p *Plane) askPartners(ctx context.Context, round *refreshRound, partners []membership.Instance) {
+	for _, partner := range partners {
+		round.ask(p.spawn, func() bool { return p.exchangeWith(ctx, partner) })
 	}
-	return confirmed > 0
 }
