--- a/pkg/crashguard/suspicion.go
+++ b/pkg/crashguard/suspicion.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// Learn adds a report of another instance, see Report. Observed is in this instance's
-// clock.
+// Learn adds a report of another instance, see Report. Observed is in this
+// instance's clock.
 func (g *Guard) Learn(fingerprint uint64, serverID, zone string, observed time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/selection/selector.go
+++ b/pkg/selection/selector.go
@@ -67,7 +67,9 @@
 		if server.ejection.fail(s.config.Failures) {
 			s.ejectLocked(server, now)
 		}
-	case server.service.isSlow(server, s.config):
+	case server.service.isSlow(server, s.config) && !server.service.load.overloaded:
+		// Under overload the bounds of attempts that were cut short measure
+		// queueing, not the replica.
 		s.ejectLocked(server, now)
 	case effect == effectOK:
 		server.ejection.succeed()
