Report what backend servers saw in an experiment

Attempts per shard come from the answers and miss what refused queries cost. Connections opened, over-limit resets and cancelled executions showed the cause of a collapse at a quarter of the capacity on a saturated machine, so every arm now reports them.

--- a/pkg/experiment/measurement.go
+++ b/pkg/experiment/measurement.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/sycamorelift/sycamorelift/pkg/standin"
 )
 
 // Measurement is what one arm achieved. Rates are per second of the measured
@@ -27,8 +29,10 @@
 	AttemptsPerShardQuery float64            `json:"attempts_per_shard_query"`
 	RefusedByReason       map[string]int     `json:"refused_by_reason"`
 	FailedByReason        map[string]int     `json:"failed_by_reason"`
-	InvariantBreaks       int                `json:"invariant_breaks"`
-	Problems              []string           `json:"problems"`
+	// Backend counts what the backend servers saw, warm-up included.
+	Backend         standin.BackendStats `json:"backend"`
+	InvariantBreaks int                  `json:"invariant_breaks"`
+	Problems        []string             `json:"problems"`
 }
 
 // measurement ends the arm: executions are compared with what callers were
@@ -40,6 +44,7 @@
 	m.Name = a.policy.Name
 	m.InvariantBreaks = audit.Total()
 	m.Restarts = a.fleet.Restarts()
+	m.Backend = a.fleet.Deployment.Stats()
 	m.Problems = []string{}
 	for _, problem := range audit.Problems() {
 		m.Problems = append(m.Problems, problem.String())
--- a/pkg/standin/backendstats.go
+++ b/pkg/standin/backendstats.go
@@ -16,6 +16,22 @@
 	Crashes           int64 `json:"crashes"`
 }
 
+// plus returns the sums, and the larger of the peaks.
+func (s BackendStats) plus(other BackendStats) BackendStats {
+	return BackendStats{
+		Searches:          s.Searches + other.Searches,
+		Submissions:       s.Submissions + other.Submissions,
+		Refused:           s.Refused + other.Refused,
+		Cancelled:         s.Cancelled + other.Cancelled,
+		AfterDrain:        s.AfterDrain + other.AfterDrain,
+		Connections:       s.Connections + other.Connections,
+		PeakConnections:   max(s.PeakConnections, other.PeakConnections),
+		OpenedConnections: s.OpenedConnections + other.OpenedConnections,
+		OverLimit:         s.OverLimit + other.OverLimit,
+		Crashes:           s.Crashes + other.Crashes,
+	}
+}
+
 type backendCounters struct {
 	searches, submissions, refused, cancelled, afterDrain, crashes atomic.Int64
 }
--- a/pkg/standin/deployment.go
+++ b/pkg/standin/deployment.go
@@ -146,6 +146,15 @@
 	return out
 }
 
+// Stats returns the counters of all backend servers together.
+func (d *Deployment) Stats() BackendStats {
+	var total BackendStats
+	for _, server := range d.Servers {
+		total = total.plus(server.Stats())
+	}
+	return total
+}
+
 // Stop ends everything.
 func (d *Deployment) Stop() {
 	d.Network.Heal()
