Bound fail-over by budget, fall back to direct calls and speak truly of resends

Now the limit follows each owner's pace (80 to 250 ms), fail-over from an owner that still accepts others takes the retry budget, and suspicion needs failures over 500 ms. Cause 2: in a partition of the instances all three owners of a replica could be cut off although the backend server was reachable. The entry instance now calls it itself as the last resort. Cause 3: a resent submission that had run was refused as not-run by instances that had not asked the issuer (401, 400, 503). Cause 4: hits of a reply that does not match the manifest displaced others in the owner's cut; the owner now checks before merging. Also: owners report unreachable servers to the crash guard, a 504 after the start of a request is a deadline with the run unknown, tickets have a deadline, and a refusal names the shard that failed first.

--- a/pkg/backend/confirmcrash_test.go
+++ b/pkg/backend/confirmcrash_test.go
@@ -62,16 +62,3 @@
 func TestRestartIsACrash(t *testing.T) {
 	assert.Equal(t, searchStatus(t, closingServer(t, true)), peerpb.ResultStatus_CRASHED)
 }
-
-// Guards against taking a slow server for an unresponsive connection for good.
-func TestProgressLimitFollowsThePace(t *testing.T) {
-	var p pace
-	const least = 80 * time.Millisecond
-	assert.Equal(t, p.limit(least), least)
-	p.record(100 * time.Millisecond)
-	assert.Equal(t, p.limit(least), 300*time.Millisecond)
-	for range 200 {
-		p.record(5 * time.Millisecond)
-	}
-	assert.Equal(t, p.limit(least), least)
-}
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/pace"
 )
 
 var (
@@ -29,7 +30,7 @@
 	closed  bool
 
 	incarnation string // of the latest reply
-	pace        pace
+	pace        pace.Peak
 }
 
 // NewPool returns a pool without open connections.
--- a/pkg/backend/refusal.go
+++ b/pkg/backend/refusal.go
@@ -39,6 +39,10 @@
 		return invalidReply("HTTP status "+strconv.Itoa(r.status), err).withState(r.state)
 	}
 	status, known := refusals[refusalKey{r.status, body.Reason}]
+	if known && status == peerpb.ResultStatus_DEADLINE && !body.NotRun {
+		// The deadline passed while the request was running.
+		return unknownRun(status, "deadline passed at the backend server", nil).withState(r.state)
+	}
 	if !known || !body.NotRun {
 		return invalidReply("HTTP status "+strconv.Itoa(r.status)+", reason "+strconv.Quote(body.Reason), nil).withState(r.state)
 	}
--- a/pkg/entry/check.go
+++ b/pkg/entry/check.go
@@ -32,11 +32,8 @@
 func (q *query) check(ctx context.Context) {
 	now := q.now()
 	for _, d := range q.sent {
-		if !d.acked && d.pending > 0 && now.Sub(d.sent) > ackTimeout && !d.moot() {
-			q.entry.config.View.ReportCall(d.owner.ID, false, now)
-			q.entry.config.Metrics.Count("owners.unresponsive", 1)
-			d.acked = true // reported; do not report again
-			q.failOver(ctx, d, now)
+		if !d.acked && d.pending > 0 && !d.moot() {
+			q.checkOwner(ctx, d, now)
 		}
 	}
 	if q.held && q.policy.CanaryMaxWait > 0 && now.Sub(q.arrived) > q.policy.CanaryMaxWait {
@@ -45,6 +42,26 @@
 	q.hedgeSlow(ctx, now)
 }
 
+// checkOwner fails over from an owner that has not accepted the request. While
+// the owner accepts other requests it is only slow, and the retry budget bounds
+// the fail-over: on a busy machine many owners are late at once and the
+// repeated work would add to the load.
+func (q *query) checkOwner(ctx context.Context, d *dispatch, now time.Time) {
+	waited := now.Sub(d.sent)
+	config := q.entry.config
+	if waited <= q.entry.acks.limit(d.owner.ID, now) {
+		return
+	}
+	d.acked = true // reported; do not report again
+	q.entry.acks.waited(d.owner.ID, waited)
+	config.View.ReportCall(d.owner.ID, false, now)
+	config.Metrics.Count("owners.unresponsive", 1)
+	service := serviceKey(q.policy.Team, q.policy.Service)
+	if q.entry.acks.isGone(d.owner.ID, now) || config.Selector.AllowRetry(service) {
+		q.failOver(ctx, d, now)
+	}
+}
+
 // hedgeSlow sends a second attempt for shards that take longer than the hedge
 // delay, and a retry for those that take too large a share of the deadline.
 func (q *query) hedgeSlow(ctx context.Context, now time.Time) {
@@ -92,26 +109,23 @@
 	return overLimit && !config.Options.DisableRetries && config.Selector.AllowRetry(service)
 }
 
-// ownerAfter returns the next owner of a backend server that this query has
-// not asked in the given dispatch.
+// directRank is the rank of this instance as the last resort: it calls the
+// backend server itself, on the single connection that instances without
+// ownership may open.
+const directRank = 1 << 10
+
+// ownerAfter returns the next owner of a backend server after the one that the
+// dispatch asked, and this instance after the last owner.
 func (q *query) ownerAfter(serverID string, from *dispatch, now time.Time) (membership.Instance, int, bool) {
-	for rank := from.rank + 1; ; rank++ {
+	for rank := from.rank + 1; rank < directRank; rank++ {
 		to, ok := q.ownerOf(serverID, rank, now)
 		if !ok {
-			return q.firstOther(serverID, from, now)
+			break
 		}
 		if to.ID != from.owner.ID {
 			return to, rank, true
 		}
 	}
-}
-
-// firstOther covers a view that has changed since the dispatch: suspicion may
-// have moved the failed owner behind others.
-func (q *query) firstOther(serverID string, from *dispatch, now time.Time) (membership.Instance, int, bool) {
-	to, ok := q.ownerOf(serverID, 0, now)
-	if !ok || to.ID == from.owner.ID || from.rank > 0 {
-		return membership.Instance{}, 0, false
-	}
-	return to, 0, true
+	self := q.entry.config.Self
+	return self, directRank, from.rank < directRank && from.owner.ID != self.ID
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -58,9 +58,10 @@
 type Entry struct {
 	config Config
 	rules  *ruleStates
+	acks   *ackPaces
 }
 
 // New returns an Entry.
 func New(config Config) *Entry {
-	return &Entry{config: config, rules: newRuleStates()}
+	return &Entry{config: config, rules: newRuleStates(), acks: newAckPaces()}
 }
--- a/pkg/entry/finish.go
+++ b/pkg/entry/finish.go
@@ -62,7 +62,7 @@
 func (q *query) refuseCoverage(report coverage.Report) *Refusal {
 	possible := q.account.Reachable()
 	detail := fmt.Sprintf("covered %.4f, at most %.4f reachable, %.4f required; first missing: %s",
-		report.Fraction, possible, leastCoverage(q.policy), firstMissing(report))
+		report.Fraction, possible, leastCoverage(q.policy), firstMissing(report, q.pendingReason()))
 	statement := q.record.statement()
 	if rule := findRule(q.policy, bundle.RuleCoverageBelow); rule != nil && report.Fraction < rule.Limit {
 		return byRule(q.policy, rule, statement, detail)
@@ -74,10 +74,15 @@
 	return refusal
 }
 
-func firstMissing(report coverage.Report) string {
+// firstMissing names a shard that failed, rather than one that was given up
+// because of it.
+func firstMissing(report coverage.Report, pending string) string {
 	if len(report.Missing) == 0 {
 		return "none"
 	}
 	m := report.Missing[0]
+	if i := slices.IndexFunc(report.Missing, func(m coverage.Missing) bool { return m.Reason != pending }); i >= 0 {
+		m = report.Missing[i]
+	}
 	return fmt.Sprintf("shard %d (%s)", m.Shard, m.Reason)
 }
--- a/pkg/entry/query.go
+++ b/pkg/entry/query.go
@@ -16,10 +16,6 @@
 
 // Waits of a query.
 const (
-	// ackTimeout is how long an owner may take to accept a request. It is far
-	// above a round trip between availability zones and bounds what a paused
-	// or unreachable owner costs.
-	ackTimeout = 60 * time.Millisecond
 	// attemptShare is the share of the deadline after which an attempt without
 	// a result is retried within the retry budget.
 	attemptShare = 0.4
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -27,6 +27,7 @@
 	}
 	if !d.acked {
 		d.acked = true
+		q.entry.acks.accepted(d.owner.ID, q.now().Sub(d.sent), q.now())
 		q.entry.config.View.ReportCall(d.owner.ID, true, q.now())
 	}
 	if frame.Sender != nil {
@@ -113,6 +114,10 @@
 	}
 	if result.Status == peerpb.ResultStatus_CRASHED {
 		q.crashes++
+	}
+	if result.Status == peerpb.ResultStatus_CRASHED && q.held {
+		// Without a canary the owner decides which of its running requests is
+		// to blame, and reports that.
 		config.Guard.Learn(q.fingerprint, a.server.ID, a.server.Zone, now)
 	}
 }
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -34,43 +34,72 @@
 	StaleView     bool            `json:"stale_view"`
 }
 
+// handleSubmit forwards a submission to its ticket's issuer. Only the issuer
+// knows whether an earlier attempt with the ticket has run: a refusal by this
+// instance says "unknown" for the request, though this attempt did not run.
 func (e *Entry) handleSubmit(_ http.ResponseWriter, r *http.Request, c call) (any, error) {
-	token := r.Header.Get(ticketHeader)
-	if token == "" {
-		return nil, invalid(http.StatusBadRequest, "header "+ticketHeader+" is missing; get a ticket first")
-	}
-	var body submitBody
-	if err := decode(r, &body); err != nil {
-		return nil, err
-	}
-	arrived := e.config.Now()
-	stale := e.config.Control.EnsureFresh(r.Context())
-	policy, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission)
+	prepared, err := e.prepareSubmit(r, c)
 	if err != nil {
-		return nil, err
+		return nil, withoutIssuer(err)
 	}
+	policy := prepared.policy
+	arrived := e.config.Now()
 	leave, rule := e.rules.enter(policy, arrived)
 	if rule != nil {
-		// An earlier attempt with this ticket may have run.
-		return nil, byRule(policy, rule, Unknown, "not run by this attempt: the class's limit on this instance is reached")
+		return nil, withoutIssuer(byRule(policy, rule, NotRun, "the class's limit on this instance is reached"))
 	}
 	defer leave()
 	ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(policy.Deadline))
 	defer cancel()
-	answer, err := e.config.Submissions.Submit(ctx, submission.Request{
-		RequestID: c.id, Token: token, Team: c.team, Service: c.service, Key: body.Key, Payload: body.Payload,
-		Priority: policy.Priority, Slots: policy.Slots, Connections: policy.Connections,
-	})
+	answer, err := e.config.Submissions.Submit(ctx, prepared.request)
 	if err != nil {
 		return nil, submissionRefusal(err)
 	}
 	e.config.Metrics.Count("submissions.run", 1)
 	return submitReply{
 		RequestID: c.id, Run: "run", Result: answer.Result, Replayed: answer.Replayed, Detail: answer.Detail,
-		Instance: e.config.Self.ID, Issuer: answer.Issuer, BundleVersion: policy.BundleVersion, StaleView: stale,
+		Instance: e.config.Self.ID, Issuer: answer.Issuer, BundleVersion: policy.BundleVersion,
+		StaleView: prepared.stale,
 	}, nil
 }
 
+// preparedSubmission is a decoded submission of an authenticated caller.
+type preparedSubmission struct {
+	request submission.Request
+	policy  bundle.Policy
+	stale   bool // nobody confirmed the bundle in time
+}
+
+// prepareSubmit decodes a submission and resolves its policy.
+func (e *Entry) prepareSubmit(r *http.Request, c call) (*preparedSubmission, error) {
+	token := r.Header.Get(ticketHeader)
+	if token == "" {
+		return nil, invalid(http.StatusBadRequest, "header "+ticketHeader+" is missing; get a ticket first")
+	}
+	var body submitBody
+	if err := decode(r, &body); err != nil {
+		return nil, err
+	}
+	stale := e.config.Control.EnsureFresh(r.Context())
+	policy, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission)
+	if err != nil {
+		return nil, err
+	}
+	return &preparedSubmission{policy: policy, stale: stale, request: submission.Request{
+		RequestID: c.id, Token: token, Team: c.team, Service: c.service, Key: body.Key, Payload: body.Payload,
+		Priority: policy.Priority, Slots: policy.Slots, Connections: policy.Connections,
+	}}, nil
+}
+
+// withoutIssuer marks a refusal that this instance gave without asking the
+// ticket's issuer.
+func withoutIssuer(err error) error {
+	refusal := asRefusal(err)
+	refusal.Run = Unknown
+	refusal.Reason.Detail = "not run by this attempt; outcome of earlier attempts unknown: " + refusal.Reason.Detail
+	return refusal
+}
+
 // submissionRefusal translates a refusal of the router. "not run" is said only
 // when no attempt with the ticket has run and none ever will.
 func submissionRefusal(err error) error {
--- a/pkg/entry/ticket.go
+++ b/pkg/entry/ticket.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/sycamorelift/sycamorelift/pkg/bundle"
@@ -27,10 +28,13 @@
 		return nil, err
 	}
 	e.config.Control.EnsureFresh(r.Context())
-	if _, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission); err != nil {
+	policy, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission)
+	if err != nil {
 		return nil, err
 	}
-	issued, err := e.config.Submissions.Ticket(r.Context(), submission.TicketRequest{
+	ctx, cancel := context.WithTimeout(r.Context(), policy.Deadline)
+	defer cancel()
+	issued, err := e.config.Submissions.Ticket(ctx, submission.TicketRequest{
 		Team: c.team, Service: c.service, Key: body.Key,
 	})
 	if err != nil {
--- a/pkg/membership/suspicion.go
+++ b/pkg/membership/suspicion.go
@@ -6,6 +6,10 @@
 	// suspicionFailures is the number of consecutive failed calls after which an
 	// instance is suspected; a single lost call says little on a lossy link.
 	suspicionFailures = 3
+	// suspicionSpan is the least time from the first of these failures to the
+	// last. A pause of some hundred milliseconds fails many calls at once, and
+	// moving the ownership for it costs more than it saves.
+	suspicionSpan = 500 * time.Millisecond
 	// suspicionHold is the length of the first suspicion. It doubles while the
 	// first call after it fails again.
 	suspicionHold = 5 * time.Second
@@ -23,6 +27,7 @@
 // callRecord counts the consecutive failures of calls to one instance.
 type callRecord struct {
 	failures int
+	first    time.Time // earliest of the consecutive failures
 	since    time.Time // start of the suspicion
 	until    time.Time // end of the suspicion, zero when never suspected
 	hold     time.Duration
@@ -46,8 +51,11 @@
 	if r.suspected(now) {
 		return false
 	}
+	if r.failures == 0 {
+		r.first = now
+	}
 	r.failures++
-	if r.failures < suspicionFailures {
+	if r.failures < suspicionFailures || now.Sub(r.first) < suspicionSpan {
 		return false
 	}
 	if !r.until.IsZero() {
--- a/pkg/membership/view_test.go
+++ b/pkg/membership/view_test.go
@@ -79,11 +79,18 @@
 // excludes a whole zone, and against a suspicion that does not expire.
 func TestSuspicionFloor(t *testing.T) {
 	v := viewOf(fixture(9, 1))
-	for i := 1; i < 9; i++ {
-		for range suspicionFailures {
-			v.ReportCall(fmt.Sprintf("i%d", i), false, start)
+	failAll := func(at time.Time) {
+		for i := 1; i < 9; i++ {
+			for range suspicionFailures {
+				v.ReportCall(fmt.Sprintf("i%d", i), false, at)
+			}
 		}
 	}
+	failAll(start.Add(-suspicionSpan))
+	if n := len(v.Instances(start)); n != 9 {
+		t.Errorf("%d usable after failures within one pause, want 9", n)
+	}
+	failAll(start)
 	if n := len(v.Instances(start)); n != 5 {
 		t.Errorf("%d usable, want 5 of 9", n)
 	}
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/admission"
@@ -82,12 +83,48 @@
 	found, err := r.pool.Search(ctx, a.searchCall())
 	config.Guard.End(a.request.Fingerprint, r.server.ID, crashOutcome(err), config.Now())
 	if err != nil {
+		a.reportLoss(r, err)
 		return a.failed(r, err)
 	}
 	a.owner.observe(r, found.Draining, found.Incarnation)
+	if !a.matchesManifest(found) {
+		return a.mismatched(found)
+	}
 	return a.succeeded(found)
 }
 
+// reportLoss tells the guard whether the backend server is down for everyone or
+// has replied, so that the loss of a zone explains the crashes in it.
+func (a *attemptRun) reportLoss(r *replica, err error) {
+	var call *backend.CallError
+	if !errors.As(err, &call) {
+		return
+	}
+	guard := a.owner.config.Guard
+	switch {
+	case call.Status == peerpb.ResultStatus_UNREACHABLE && call.Run == peerpb.RunState_RUN_STATE_NOT_RUN:
+		guard.Lost(r.server, a.owner.config.Now())
+	case call.Incarnation != "":
+		guard.Alive(r.server.ID)
+	}
+}
+
+// matchesManifest reports whether the reply covers what the pinned snapshot's
+// manifest states. It is checked before hits of several shards are merged and
+// cut, because hits of a rejected shard must not displace those of others.
+func (a *attemptRun) matchesManifest(found *backend.SearchReply) bool {
+	return found.From == a.attempt.From && found.To == a.attempt.To && found.Documents == a.attempt.Documents
+}
+
+func (a *attemptRun) mismatched(found *backend.SearchReply) shardReply {
+	result := a.result(peerpb.ResultStatus_INVALID_REPLY, peerpb.RunState_RUN_STATE_RUN)
+	result.Snapshots = found.Snapshots
+	result.Draining = found.Draining
+	result.Detail = fmt.Sprintf("reply covers [%q, %q) with %d documents, the manifest states [%q, %q) with %d",
+		found.From, found.To, found.Documents, a.attempt.From, a.attempt.To, a.attempt.Documents)
+	return shardReply{result: result}
+}
+
 func (a *attemptRun) searchCall() backend.SearchCall {
 	return backend.SearchCall{
 		Request:  a.request.RequestId,
