--- a/pkg/controlplane/partners.go
+++ b/pkg/controlplane/partners.go
@@ -8,13 +8,17 @@
 )
 
 // pickPartners returns up to n distinct instances other than self in random
-// order. Usable instances come first; the others are asked only when no usable
-// one is known, so that a wrong view cannot isolate this instance.
+// order. Suspected and leaving ones follow only when the usable ones do not
+// suffice, so that a wrong suspicion cannot isolate this instance.
 func pickPartners(self string, usable, listed []membership.Instance, n int, random *rand.Rand) []membership.Instance {
-	if partners := sample(self, usable, n, random); len(partners) > 0 {
+	partners := sample(self, usable, n, random)
+	if len(partners) == n || len(usable) >= len(listed) {
 		return partners
 	}
-	return sample(self, listed, n, random)
+	others := slices.DeleteFunc(slices.Clone(listed), func(i membership.Instance) bool {
+		return contains(usable, i.ID)
+	})
+	return append(partners, sample(self, others, n-len(partners), random)...)
 }
 
 // sample returns up to n distinct instances other than self in random order. A
@@ -29,32 +33,34 @@
 	picked := make([]membership.Instance, 0, n)
 	for len(picked) < n {
 		drawn := from[random.IntN(len(from))]
-		isSame := func(i membership.Instance) bool { return i.ID == drawn.ID }
-		if drawn.ID != self && !slices.ContainsFunc(picked, isSame) {
+		if drawn.ID != self && !contains(picked, drawn.ID) {
 			picked = append(picked, drawn)
 		}
 	}
 	return picked
 }
 
-// pickAcrossZones is pickPartners with one instance of each availability zone
-// before a second one of any.
+// pickAcrossZones is pickPartners with one usable instance of each availability
+// zone before a second one of any.
 func pickAcrossZones(self string, usable, listed []membership.Instance, n int, random *rand.Rand) []membership.Instance {
-	shuffled := pickPartners(self, usable, listed, len(usable)+len(listed), random)
-	var picked, rest []membership.Instance
+	var first, rest []membership.Instance
 	zones := make(map[string]bool)
-	for _, instance := range shuffled {
-		if zones[instance.Zone] {
+	for _, instance := range pickPartners(self, usable, listed, len(listed), random) {
+		if zones[instance.Zone] || !contains(usable, instance.ID) {
 			rest = append(rest, instance)
 			continue
 		}
 		zones[instance.Zone] = true
-		picked = append(picked, instance)
+		first = append(first, instance)
 	}
-	picked = append(picked, rest...)
+	picked := append(first, rest...)
 	return picked[:min(n, len(picked))]
 }
 
+func contains(instances []membership.Instance, id string) bool {
+	return slices.ContainsFunc(instances, func(i membership.Instance) bool { return i.ID == id })
+}
+
 func without(instances []membership.Instance, self string) []membership.Instance {
 	others := make([]membership.Instance, 0, len(instances))
 	for _, instance := range instances {
