--- a/pkg/controlplane/config.go
+++ b/pkg/controlplane/config.go
@@ -34,7 +34,9 @@
 	Peers       Peers
 	// Seeds are instances that a starting instance asks when the service is
 	// down, so that no list of members is known.
-	Seeds  []membership.Instance
+	Seeds []membership.Instance
+	// Now has to advance while the process or its machine is paused, otherwise
+	// the freshness gate does not notice the pause.
 	Now    func() time.Time
 	Rand   *rand.Rand // owned by the plane from then on
 	Logger *slog.Logger
