--- a/pkg/admission/bench_test.go
+++ b/pkg/admission/bench_test.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"context"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -34,6 +36,55 @@
 	runtime.KeepAlive(queues)
 }
 
+// BenchmarkWaitingMemory reports the heap and stacks of requests that wait in
+// Acquire, each in its own goroutine.
+func BenchmarkWaitingMemory(b *testing.B) {
+	for _, waiting := range []int{500, 1000, 2000, 4000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(float64(waitingMemory(b, waiting)), "memoryB")
+			}
+		})
+	}
+}
+
+func waitingMemory(b *testing.B, waiting int) uint64 {
+	const perQueue = 50
+	ctx, cancel := context.WithCancel(b.Context())
+	queues := make([]*Queue, waiting/perQueue)
+	done := make(chan struct{})
+	for i := range queues {
+		queues[i] = NewQueue(1, time.Now)
+		_, _ = queues[i].Acquire(ctx, Request{})
+	}
+	before := heapAndStacks()
+	for i := range waiting {
+		go func() {
+			_, _ = queues[i%len(queues)].Acquire(ctx, Request{})
+			done <- struct{}{}
+		}()
+	}
+	for _, q := range queues {
+		for q.Stats().Waiting < perQueue {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	used := heapAndStacks() - before
+	cancel()
+	for range waiting {
+		<-done
+	}
+	return used
+}
+
+func heapAndStacks() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC() // the first one frees stacks of ended goroutines
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
+
 func heap() uint64 {
 	var stats runtime.MemStats
 	runtime.GC()
--- a/pkg/backend/bench_test.go
+++ b/pkg/backend/bench_test.go
@@ -1,10 +1,13 @@
 package backend
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"runtime"
 	"testing"
+
+	"github.com/sycamorelift/sycamorelift/pkg/capacity"
 )
 
 // BenchmarkSearch is one search over a reused loopback connection, with the
@@ -26,6 +29,45 @@
 	runtime.KeepAlive(dialled)
 }
 
+// BenchmarkCalls makes calls one after the other; both ends are measured.
+func BenchmarkCalls(b *testing.B) {
+	server := newRawServer(b, func(net.Conn, int32, *http.Request) (string, bool) { return echo("documents", 9), false })
+	pool := poolFor(b, server.address(), Options{Connections: 4})
+	for _, calls := range []int{1, 10, 40, 160} {
+		b.Run(fmt.Sprintf("calls=%d", calls), func(b *testing.B) {
+			b.ReportAllocs()
+			defer capacity.MeasureCPU(b)()
+			for b.Loop() {
+				for range calls {
+					if _, err := pool.Search(b.Context(), testCall); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkConnectionMemory reports the heap of idle connections, both ends.
+func BenchmarkConnectionMemory(b *testing.B) {
+	server := newRawServer(b, func(net.Conn, int32, *http.Request) (string, bool) { return echo("documents", 9), false })
+	for _, connections := range []int{25, 100, 200, 400} {
+		b.Run(fmt.Sprintf("connections=%d", connections), func(b *testing.B) {
+			pool := poolFor(b, server.address(), Options{Connections: connections})
+			for range b.N {
+				before, dialled := heap(), make([]*connection, connections)
+				for i := range dialled {
+					dialled[i], _ = pool.acquire(b.Context(), true)
+				}
+				b.ReportMetric(float64(heap()-before), "heapB")
+				for _, c := range dialled {
+					pool.discard(c)
+				}
+			}
+		})
+	}
+}
+
 func heap() uint64 {
 	var stats runtime.MemStats
 	runtime.GC()
--- a/pkg/controlplane/sim_bench_test.go
+++ b/pkg/controlplane/sim_bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/pkg/capacity"
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
 )
@@ -25,13 +26,7 @@
 // about four backend servers per instance, a bundle and index manifests.
 func benchNetwork(instances int) *simNetwork {
 	n := newSimNetwork(instances, 8, 7)
-	for i := range instances * 1900 / 440 {
-		n.service.servers = append(n.service.servers, membership.BackendServer{
-			ID: fmt.Sprintf("backend-%04d", i), Team: "office", Service: "renewal-search",
-			Shard: i / 2, Replica: i % 2, Region: "r0", Zone: fmt.Sprintf("z%d", i%8),
-			Rack: fmt.Sprintf("rack-%d", i%20), Address: "10.1.0.1:8080", State: membership.StateLive,
-		})
-	}
+	n.service.servers = benchServers(instances)
 	n.service.publishMembers()
 	for i := range benchIndexes {
 		n.service.publish(IndexKey("office", fmt.Sprint(i)), benchManifest(i, 30))
@@ -41,6 +36,17 @@
 	return n
 }
 
+func benchServers(instances int) (servers []membership.BackendServer) {
+	for i := range instances * 1900 / 440 {
+		servers = append(servers, membership.BackendServer{
+			ID: fmt.Sprintf("backend-%04d", i), Team: "office", Service: "renewal-search",
+			Shard: i / 2, Replica: i % 2, Region: "r0", Zone: fmt.Sprintf("z%d", i%8),
+			Rack: fmt.Sprintf("rack-%d", i%20), Address: "10.1.0.1:8080", State: membership.StateLive,
+		})
+	}
+	return servers
+}
+
 func benchManifest(service, shards int) []byte {
 	m := snapshot.Manifest{Team: "office", Service: fmt.Sprint(service)}
 	for version := range int64(2) {
@@ -155,7 +161,7 @@
 			benchAccept(b, KeyMembers, members)
 		})
 	}
-	for _, shards := range []int{1, 30, 1300} {
+	for _, shards := range []int{1, 30, 300, 1300} {
 		data := benchManifest(0, shards)
 		b.Run(fmt.Sprintf("manifest/kB=%d", len(data)/1000), func(b *testing.B) {
 			benchAccept(b, IndexKey("office", "0"), data)
@@ -167,6 +173,7 @@
 	s := NewStore(simVerify, time.Now, nil)
 	b.ReportAllocs()
 	b.SetBytes(int64(len(data)))
+	defer capacity.MeasureCPU(b)()
 	for i := range b.N {
 		if ok, err := s.Accept(Document{Key: key, Revision: int64(i), Data: data}); !ok {
 			b.Fatal(err)
--- a/pkg/membership/view_bench_test.go
+++ b/pkg/membership/view_bench_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/capacity"
 )
 
 // benchMembers lists instances and 1,900 backend servers in 8 zones.
@@ -36,6 +39,7 @@
 		for name, change := range changes {
 			b.Run(fmt.Sprintf("%s/instances=%d", name, size), func(b *testing.B) {
 				b.ReportAllocs()
+				defer capacity.MeasureCPU(b)()
 				for i := range b.N {
 					change(i)
 					v.Owners("s1", at(i))
@@ -44,3 +48,36 @@
 		}
 	}
 }
+
+// BenchmarkMembers applies a list of instances and backend servers in the
+// proportion of the target size, ranks it, and reports the heap that the view
+// keeps for it.
+func BenchmarkMembers(b *testing.B) {
+	for _, size := range []int{40, 220, 440, 1000} {
+		m := fixture(size, 8)
+		for i := range size*1900/440 - 2 {
+			m.BackendServers = append(m.BackendServers, BackendServer{
+				ID: fmt.Sprintf("x%d", i), Team: "t", Shard: i / 2, Zone: fmt.Sprintf("z%d", i%8), State: StateLive,
+			})
+		}
+		b.Run(fmt.Sprintf("members=%d", len(m.Instances)+len(m.BackendServers)), func(b *testing.B) {
+			b.ReportAllocs()
+			v, before := NewView("i0", "z0"), heap()
+			report := capacity.MeasureCPU(b)
+			for i := range b.N {
+				v.Apply(m, int64(i+1))
+				v.Owners("s1", start)
+			}
+			report()
+			b.ReportMetric(float64(heap())-float64(before), "heapB")
+			runtime.KeepAlive(v)
+		})
+	}
+}
+
+func heap() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/pkg/selection/bench_test.go
+++ b/pkg/selection/bench_test.go
@@ -1,6 +1,7 @@
 package selection
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -49,6 +50,27 @@
 	}
 }
 
+// BenchmarkServerMemory reports the heap of the known backend servers of one
+// service.
+func BenchmarkServerMemory(b *testing.B) {
+	for _, servers := range []int{240, 480, 960, 1900} {
+		var shards [][]membership.BackendServer
+		for i := range servers / 2 {
+			shards = append(shards, shard(i, 2))
+		}
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			for range b.N {
+				before, s := heap(), newSelector()
+				for _, replicas := range shards {
+					s.Order(epoch, replicas, "z")
+				}
+				b.ReportMetric(float64(heap()-before), "heapB")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
 func heap() uint64 {
 	var stats runtime.MemStats
 	runtime.GC()
