--- a/pkg/telemetry/tracing.go
+++ b/pkg/telemetry/tracing.go
@@ -91,8 +91,5 @@
 }
 
 func newSampler(fraction float64) sdktrace.Sampler {
-	if fraction == 0 {
-		return sdktrace.ParentBased(sdktrace.AlwaysSample())
-	}
 	return sdktrace.ParentBased(sdktrace.TraceIDRatioBased(fraction))
 }
--- a/pkg/telemetry/tracingoptions.go
+++ b/pkg/telemetry/tracingoptions.go
@@ -20,8 +20,9 @@
 	File       string // path to append to
 	InstanceID string
 	Zone       string // availability zone
-	// SampleFraction is the fraction of traces that start here and are
-	// recorded; 0 means all. Traces that a caller started keep its decision.
+	// SampleFraction is the fraction (0 to 1) of traces that start here and are
+	// recorded. Traces that a caller started keep its decision, so that 0
+	// records only those that the caller decided to record.
 	SampleFraction float64
 	// Stdout replaces os.Stdout when it is not nil.
 	Stdout io.Writer
