Trace the hops to backend servers and the ticket calls

pkg/backend used the global tracer provider of OpenTelemetry, which nothing sets, so the hop to a backend server had no span. The twirp client sent no traceparent and its server started no span, so a submission through a second instance fell into two traces.

backend.Options takes a tracer, the peer client writes traceparent into every call, and IssueTicket and Redeem have a server span. The exchange of documents has none, since it runs all the time. instance.Options takes a tracer provider for tests.

The test sends a search and a submission with the caller's traceparent through three instances.

--- a/pkg/backend/options.go
+++ b/pkg/backend/options.go
@@ -4,6 +4,9 @@
 	"crypto/tls"
 	"log/slog"
 	"time"
+
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
 // Defaults of Options.
@@ -25,6 +28,7 @@
 	TLS             *tls.Config   // nil is cleartext
 	Zone            string        // this instance's zone, sent as Sycamorelift-Zone
 	Logger          *slog.Logger
+	Tracer          trace.Tracer // of the span of each call; nil records none
 }
 
 func (o Options) withDefaults() Options {
@@ -43,5 +47,8 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
+	if o.Tracer == nil {
+		o.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	return o
 }
--- a/pkg/backend/span.go
+++ b/pkg/backend/span.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 
-	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 )
 
-const tracerName = "github.com/sycamorelift/sycamorelift/pkg/backend"
-
 // startSpan starts the client span of one call.
 func (p *Pool) startSpan(ctx context.Context, name, request string, attempt, shard int32) (context.Context, trace.Span) {
-	return otel.Tracer(tracerName).Start(ctx, name,
+	return p.opts.Tracer.Start(ctx, name,
 		trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(
 			attribute.String("sycamorelift.request", request),
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -86,6 +86,11 @@
 	}
 	i.logger = logger
 	i.registry = telemetry.NewRegistry(i.self.ID)
+	if i.options.TracerProvider != nil {
+		i.provider = i.options.TracerProvider
+		i.stopTraces = func(context.Context) error { return nil }
+		return nil
+	}
 	traces := i.settings.Traces
 	i.provider, i.stopTraces, err = telemetry.Tracing(ctx, telemetry.Options{
 		Exporter: telemetry.Exporter(traces.Exporter), Endpoint: traces.Endpoint, File: traces.File,
@@ -130,7 +135,7 @@
 		View:            i.view,
 		Control:         i.plane,
 		Guard:           i.guard,
-		Backend:         backendOptions(i.self.Zone, backendTLS, i.logger),
+		Backend:         backendOptions(i.self.Zone, backendTLS, i.logger, i.tracer()),
 		DirectInstances: i.directInstances(),
 		Logger:          i.logger,
 		Now:             time.Now,
@@ -157,7 +162,7 @@
 			Now: time.Now, NotSent: submission.DialFailed,
 		}),
 		Metrics:         &metrics{registry: i.registry},
-		Tracer:          telemetry.NewHTTPTracing(i.provider).Tracer(),
+		Tracer:          i.tracer(),
 		Logger:          i.logger,
 		Now:             time.Now,
 		MaxRequestBytes: i.settings.Limits.MaxRequestBytes,
@@ -165,6 +170,8 @@
 	}
 }
 
+func (i *Instance) tracer() trace.Tracer { return telemetry.NewHTTPTracing(i.provider).Tracer() }
+
 func (i *Instance) directInstances() int {
 	if !i.options.Entry.DirectFanOut {
 		return 0
--- a/pkg/instance/options.go
+++ b/pkg/instance/options.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"github.com/sycamorelift/sycamorelift/pkg/entry"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Options are inputs that do not come from settings. The zero value is the
@@ -18,6 +19,8 @@
 	Seed uint64
 	// LogOutput is standard error when nil.
 	LogOutput io.Writer
+	// TracerProvider replaces that of the settings when it is not nil.
+	TracerProvider trace.TracerProvider
 	// Listeners replace those of the settings when they are not nil.
 	CallerListener, PeerListener, OperatorListener net.Listener
 }
--- a/pkg/instance/parts.go
+++ b/pkg/instance/parts.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/configclient"
 	"github.com/sycamorelift/sycamorelift/pkg/controlplane"
 	"github.com/sycamorelift/sycamorelift/pkg/settings"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // Bounds of calls to backend servers.
@@ -38,13 +39,14 @@
 	return w
 }
 
-func backendOptions(zone string, tlsConfig *tls.Config, logger *slog.Logger) backend.Options {
+func backendOptions(zone string, tlsConfig *tls.Config, logger *slog.Logger, tracer trace.Tracer) backend.Options {
 	return backend.Options{
 		DialTimeout:     backendDial,
 		ProgressTimeout: progressTimeout,
 		TLS:             tlsConfig,
 		Zone:            zone,
 		Logger:          logger,
+		Tracer:          tracer,
 	}
 }
 
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -12,7 +12,6 @@
 	"github.com/sycamorelift/sycamorelift/pkg/lifecycle"
 	"github.com/sycamorelift/sycamorelift/pkg/peer"
 	"github.com/sycamorelift/sycamorelift/pkg/settings"
-	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 	"github.com/thejerf/suture/v4"
 )
 
@@ -40,8 +39,7 @@
 	if err != nil {
 		return eris.Wrap(err, "TLS of the peer listener")
 	}
-	tracer := telemetry.NewHTTPTracing(i.provider).Tracer()
-	peerHandler := peer.NewServer(&peerService{plane: i.plane, issuer: i.issuer}, i.owner, i.plane, tracer)
+	peerHandler := peer.NewServer(&peerService{plane: i.plane, issuer: i.issuer}, i.owner, i.plane, i.tracer())
 	return errors.Join(
 		i.addListener("operator", i.settings.Listen.Operator, i.options.OperatorListener, nil, i.operatorHandler()),
 		i.addListener("peer", i.settings.Listen.Peer, i.options.PeerListener, peerTLS, i.lifecycle.PeerHandler(peerHandler)),
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -15,7 +15,6 @@
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 	"github.com/sycamorelift/sycamorelift/pkg/owner"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
-	"go.opentelemetry.io/otel/propagation"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 )
@@ -60,7 +59,7 @@
 		IdleConnTimeout: idleConnTimeout,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
-	return &Client{scheme: scheme, http: &http.Client{Transport: transport}, twirp: make(map[string]peerpb.Peer)}
+	return &Client{scheme: scheme, http: &http.Client{Transport: &traceTransport{next: transport}}, twirp: make(map[string]peerpb.Peer)}
 }
 
 // Close drops idle connections.
@@ -112,7 +111,6 @@
 		return nil, eris.Wrap(err, "build search request")
 	}
 	post.Header.Set("Content-Type", "application/protobuf")
-	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(post.Header))
 	response, err := c.http.Do(post)
 	return response, eris.Wrapf(err, "send search to instance %s", to.ID)
 }
