Test the query engine against an oracle under faults of owners

The engine had no tests of its own.

First seen as "attempt number 1 is used twice"; they are now counted per request. - Retries and fail-over were sent to backend servers that had started to leave since the query began: "asked backend servers that the view excludes: [b4-0]". The view is now read again for each attempt (lock-free).

--- a/pkg/entry/check.go
+++ b/pkg/entry/check.go
@@ -82,7 +82,7 @@
 
 func (q *query) mayRepeat(a *attempt, overLimit bool) bool {
 	config := q.entry.config
-	if _, ok := a.shard.next(); !ok {
+	if _, ok := q.next(a.shard); !ok {
 		return false
 	}
 	service := serviceKey(q.policy.Team, q.policy.Service)
--- /dev/null
+++ b/pkg/entry/fakeowner_test.go
@@ -0,0 +1,246 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/owner"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
+)
+
+// fault is what an owner does wrong with one attempt, or "" for nothing. The
+// names of peerpb.ResultStatus are refusals and failures.
+type fault string
+
+const (
+	right         fault = ""
+	slow          fault = "slow"
+	silent        fault = "silent"
+	paused        fault = "paused" // the owner does not acknowledge the message
+	unreachable   fault = "owner unreachable"
+	truncated     fault = "truncated"
+	otherSnapshot fault = "other snapshot"
+	wrongRange    fault = "wrong range"
+	wrongCount    fault = "wrong count"
+	wrongRequest  fault = "wrong request"
+	wrongAttempt  fault = "wrong attempt"
+	wrongShard    fault = "wrong shard"
+	wrongServer   fault = "wrong server"
+	duplicate     fault = "duplicate"
+)
+
+var allFaults = []fault{slow, silent, paused, unreachable, truncated, otherSnapshot, wrongRange, wrongCount, wrongRequest,
+	wrongAttempt, wrongShard, wrongServer, duplicate, "SHED", "DRAINING", "SNAPSHOT_GONE", "CRASHED", "DEADLINE",
+	"UNREACHABLE", "INVALID_REPLY", "COLD"}
+
+// notRun are the faults that prove that the backend server ran nothing.
+var notRun = []fault{"SHED", "DRAINING", "SNAPSHOT_GONE", "DEADLINE", "UNREACHABLE", "COLD"}
+
+// fakeOwners is the owner role of all instances, as one entry reaches it.
+type fakeOwners struct {
+	*world
+	entry string
+}
+
+// choose draws a fault by a hash, so that it does not depend on the order in
+// which goroutines run.
+func (w *world) choose(of ...any) fault {
+	if len(w.faults) == 0 {
+		return right
+	}
+	return w.faults[w.hash(of...)%uint64(len(w.faults))]
+}
+
+func (w *world) hash(of ...any) uint64 { return xxhash.Sum64String(fmt.Sprint(w.seed, of)) }
+
+// Search implements OwnerClient.
+func (f *fakeOwners) Search(ctx context.Context, to membership.Instance, request *peerpb.SearchRequest, emit owner.Emit) error {
+	if ctx.Err() != nil {
+		return ctx.Err() // not sent
+	}
+	asked, isPaused := f.record(to, request)
+	whole := f.choose("message", to.ID, asked[0].BackendServerId, asked[0].Attempt)
+	switch {
+	case whole == unreachable:
+		return errors.New("connection refused")
+	case whole == paused, isPaused:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if err := emit(&peerpb.SearchFrame{RequestId: request.RequestId}); err != nil {
+		return err
+	}
+	// At most one frame per millisecond holds all results of that time.
+	byTime := map[time.Duration][]*askedAttempt{}
+	for _, a := range asked {
+		delay := time.Duration(3+f.hash("delay", a.BackendServerId, a.Attempt)%9) * time.Millisecond
+		if f.faultOf(a) == slow {
+			delay += time.Duration(f.hash("slow", a.BackendServerId)%250) * time.Millisecond
+		}
+		byTime[delay] = append(byTime[delay], a)
+	}
+	for ms := time.Duration(0); ms < 300; ms++ {
+		if err := f.reply(ctx, request, byTime[ms*time.Millisecond], whole, emit); err != nil {
+			for _, a := range asked {
+				f.update(func() { a.ended = ctx.Err() != nil })
+			}
+			return err
+		}
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	return emit(&peerpb.SearchFrame{RequestId: request.RequestId, Last: true})
+}
+
+func (w *world) update(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func (w *world) faultOf(a *askedAttempt) fault {
+	return w.choose(a.BackendServerId, a.Attempt, a.owner)
+}
+
+func (f *fakeOwners) record(to membership.Instance, request *peerpb.SearchRequest) (asked []*askedAttempt, isPaused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range request.Attempts {
+		got := &askedAttempt{ShardAttempt: a, owner: to.ID, snapshot: request.Snapshot, at: time.Now()}
+		asked = append(asked, got)
+		replicas := f.views[f.entry].Replicas("team", "service", int(a.Shard), time.Now())
+		listed := slices.ContainsFunc(replicas, func(b membership.BackendServer) bool { return b.ID == a.BackendServerId })
+		if !listed && time.Now().After(f.drained[a.BackendServerId]) { // not at the same instant
+			f.excluded = append(f.excluded, a.BackendServerId)
+		}
+	}
+	slices.SortFunc(asked, func(a, b *askedAttempt) int { return int(a.Attempt - b.Attempt) })
+	f.asked[request.RequestId] = append(f.asked[request.RequestId], asked...)
+	f.calls[to.ID]++
+	return asked, f.pauses[to.ID]
+}
+
+// reply sends the results that are due at one time.
+func (f *fakeOwners) reply(ctx context.Context, request *peerpb.SearchRequest, due []*askedAttempt, whole fault, emit owner.Emit) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	good := &peerpb.SearchFrame{RequestId: request.RequestId}
+	var sent []*askedAttempt
+	for _, a := range due {
+		result, hits := f.result(request, a)
+		frame := &peerpb.SearchFrame{RequestId: request.RequestId, Results: []*peerpb.ShardResult{result}, Hits: hits}
+		switch f.faultOf(a) {
+		case silent:
+			continue
+		case right, slow:
+			good.Results = append(good.Results, result)
+			good.Hits = append(good.Hits, hits...)
+			sent = append(sent, a)
+			continue
+		case wrongRequest:
+			frame.RequestId = "other"
+		case duplicate:
+			if err := emit(frame); err != nil {
+				return err
+			}
+			frame.Results = append(frame.Results, result)
+		}
+		if err := emit(frame); err != nil {
+			return err
+		}
+		f.update(func() {
+			a.run = result.Run
+			if result.Draining && f.drained[a.BackendServerId].IsZero() {
+				f.drained[a.BackendServerId] = time.Now()
+			}
+		})
+	}
+	if whole == truncated && len(due) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	if len(good.Results) == 0 {
+		return nil
+	}
+	slices.SortFunc(good.Hits, owner.CompareHits)
+	good.Hits = good.Hits[:min(len(good.Hits), int(request.Limit))]
+	f.update(func() {
+		for i, a := range sent {
+			a.run = good.Results[i].Run
+		}
+	})
+	return emit(good)
+}
+
+// result is what the owner states about an attempt.
+func (f *fakeOwners) result(request *peerpb.SearchRequest, a *askedAttempt) (*peerpb.ShardResult, []*peerpb.Hit) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := &peerpb.ShardResult{Shard: a.Shard, Attempt: a.Attempt, BackendServerId: a.BackendServerId, Snapshots: f.serves[a.BackendServerId]}
+	if request.Query == f.poison && f.poison != "" {
+		return f.crash(request, r), nil
+	}
+	named := f.faultOf(a)
+	if named == duplicate && f.hash("refused", a.Attempt)%2 == 0 {
+		named = "SHED"
+	}
+	status, isStatus := peerpb.ResultStatus_value[string(named)]
+	if !isStatus && !slices.Contains(r.Snapshots, request.Snapshot) {
+		status, isStatus = int32(peerpb.ResultStatus_SNAPSHOT_GONE), true
+	}
+	if isStatus {
+		r.Status = peerpb.ResultStatus(status)
+		if slices.Contains(notRun, fault(r.Status.String())) && f.hash("run", a.Attempt)%4 > 0 {
+			r.Run = peerpb.RunState_RUN_STATE_NOT_RUN
+		}
+		r.Draining = r.Status == peerpb.ResultStatus_DRAINING
+		return r, nil
+	}
+	r.Status, r.Run, r.Snapshot = peerpb.ResultStatus_OK, peerpb.RunState_RUN_STATE_RUN, request.Snapshot
+	if f.faultOf(a) == otherSnapshot {
+		r.Snapshot = 1 + request.Snapshot%3
+	}
+	if f.faultOf(a) == wrongShard {
+		r.Shard = (r.Shard + 1) % worldShards
+	}
+	p := f.index[r.Snapshot].Partitions[r.Shard]
+	hits := documents(r.Snapshot, p)
+	if spoil(r, p, f.faultOf(a)) {
+		hits = nil // the reply is not about what was asked
+	}
+	return r, hits[:min(len(hits), int(request.Limit))]
+}
+
+func spoil(r *peerpb.ShardResult, p snapshot.Partition, how fault) bool {
+	r.From, r.To, r.Documents = p.From, p.To, p.Documents
+	switch how {
+	case wrongRange:
+		r.To += "x"
+	case wrongCount:
+		r.Documents--
+	case wrongAttempt:
+		r.Attempt += 100
+	case wrongServer:
+		r.BackendServerId += "x"
+	case wrongRequest:
+	default:
+		return false
+	}
+	return true
+}
+
+// crash runs the poison request. The owner's guard refuses it as the product's does.
+func (f *fakeOwners) crash(request *peerpb.SearchRequest, r *peerpb.ShardResult) *peerpb.ShardResult {
+	f.crashed[r.BackendServerId] = true
+	r.Status = peerpb.ResultStatus_CRASHED
+	return r
+}
--- a/pkg/entry/query.go
+++ b/pkg/entry/query.go
@@ -61,6 +61,7 @@
 		arrived:     arrived,
 		deadline:    arrived.Add(policy.Deadline),
 		record:      run,
+		attempts:    run.attempts,
 		account:     coverage.NewAccount(pinned),
 		byShard:     make(map[int]*shardState, len(pinned.Partitions)),
 		open:        len(pinned.Partitions),
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -164,7 +164,7 @@
 	if s.done || s.running > 0 {
 		return nil
 	}
-	if _, ok := s.next(); ok {
+	if _, ok := q.next(s); ok {
 		q.send(ctx, []*shardState{s}, false)
 		return nil
 	}
@@ -187,7 +187,7 @@
 		q.retryCanary(ctx, s)
 		return nil
 	}
-	_, ok := s.next()
+	_, ok := q.next(s)
 	if !ok || config.Options.DisableRetries || !config.Selector.AllowRetry(serviceKey(q.policy.Team, q.policy.Service)) {
 		q.fail(s, reason)
 		return nil
@@ -200,7 +200,7 @@
 // retryCanary asks the canary's next replica, or another shard when the
 // canary's shard has none left.
 func (q *query) retryCanary(ctx context.Context, s *shardState) {
-	if _, ok := s.next(); ok {
+	if _, ok := q.next(s); ok {
 		q.send(ctx, []*shardState{s}, false)
 		return
 	}
@@ -256,6 +256,10 @@
 }
 
 func (q *query) moveAttempt(ctx context.Context, groups map[string]*dispatch, a *attempt, from *dispatch, now time.Time) {
+	if !q.mayReceive(a.server) {
+		_ = q.retry(ctx, a.shard, "backend server is leaving")
+		return
+	}
 	to, rank, ok := q.ownerAfter(a.server.ID, from, now)
 	if !ok {
 		_ = q.retry(ctx, a.shard, "no owner instance answered")
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -33,7 +33,7 @@
 func (q *query) sendCanary(ctx context.Context) {
 	candidates := make([]int, 0, len(q.shards))
 	for _, s := range q.shards {
-		if _, ok := s.next(); ok && !s.done {
+		if _, ok := q.next(s); ok && !s.done {
 			candidates = append(candidates, s.partition.Shard)
 		}
 	}
@@ -87,7 +87,7 @@
 	groups := make(map[string]*dispatch)
 	now := q.now()
 	for _, s := range shards {
-		server, ok := s.next()
+		server, ok := q.next(s)
 		if !ok {
 			q.fail(s, "no replica left to ask")
 			continue
@@ -109,6 +109,22 @@
 	}
 }
 
+// next returns the first replica that was not tried and may still receive
+// requests: it may have started to leave since the query began.
+func (q *query) next(s *shardState) (membership.BackendServer, bool) {
+	for _, r := range s.replicas {
+		if !s.tried[r.ID] && q.mayReceive(r) {
+			return r, true
+		}
+	}
+	return membership.BackendServer{}, false
+}
+
+func (q *query) mayReceive(server membership.BackendServer) bool {
+	current := q.entry.config.View.Replicas(server.Team, server.Service, server.Shard, q.now())
+	return slices.ContainsFunc(current, func(r membership.BackendServer) bool { return r.ID == server.ID })
+}
+
 // ownerOf returns the owner of a backend server at a rank.
 func (q *query) ownerOf(serverID string, rank int, now time.Time) (membership.Instance, bool) {
 	config := q.entry.config
@@ -124,6 +140,7 @@
 
 func (q *query) addAttempt(d *dispatch, s *shardState, server membership.BackendServer, now time.Time, hedge bool) {
 	q.attempts++
+	q.record.attempts = q.attempts
 	a := &attempt{number: q.attempts, shard: s, server: server, dispatch: d, started: now, hedge: hedge}
 	d.attempts[a.number] = a
 	d.pending++
--- a/pkg/entry/shardstate.go
+++ b/pkg/entry/shardstate.go
@@ -17,13 +17,3 @@
 	hits      []*peerpb.Hit
 	lastError string
 }
-
-// next returns the first replica that was not tried, or false.
-func (s *shardState) next() (membership.BackendServer, bool) {
-	for _, r := range s.replicas {
-		if !s.tried[r.ID] {
-			return r, true
-		}
-	}
-	return membership.BackendServer{}, false
-}
