--- a/pkg/admission/check_test.go
+++ b/pkg/admission/check_test.go
@@ -1,20 +1,14 @@
 package admission
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
+
+	"github.com/sycamorelift/sycamorelift/internal/rapidmain"
 )
 
 // TestMain fixes the seed of the generators, so that every run checks the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidmain.Run(m, rapidmain.Options{Checks: 100}) }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/pkg/outcome/state_test.go
+++ b/pkg/outcome/state_test.go
@@ -1,21 +1,16 @@
 package outcome
 
 import (
-	"flag"
-	"os"
 	"sync"
 	"testing"
 
+	"github.com/sycamorelift/sycamorelift/internal/rapidmain"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidmain.Run(m, rapidmain.Options{Checks: 100}) }
 
 // Guards against transitions outside the two permitted paths, for example a
 // send after a refusal or a refusal after an answer.
--- a/pkg/ticket/ledger_test.go
+++ b/pkg/ticket/ledger_test.go
@@ -3,25 +3,20 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/internal/rapidmain"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidmain.Run(m, rapidmain.Options{Checks: 100}) }
 
 const maxRecords = 4
 
