Log with the request's context and name the caller of a refusal

No log record had trace_id or request_id: nothing logged with a context and nothing set the request id. The entry's handler, the owner and the issuer set it now, and pkg/entry, pkg/owner and the pool log with the context. Refusals by a rule or a shortage were logged at debug with one text; they are logged at info with the caller, its class, run statement, rule, bundle version, signer, shortage and detail. Refusals of faulty requests stay at debug.

The tests failed before: request_id was missing in the records of the entry and of the owner.

--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -79,7 +79,7 @@
 		}
 		silent = conn.reused && conn.received == 0 && failure.Status == peerpb.ResultStatus_UNREACHABLE
 		if silent {
-			p.reportSilent(start)
+			p.reportSilent(ctx, start)
 		}
 		if !conn.reused {
 			// The silence of a new connection is that of the server, which may
@@ -95,9 +95,9 @@
 	return result, false, err
 }
 
-func (p *Pool) reportSilent(start time.Time) {
+func (p *Pool) reportSilent(ctx context.Context, start time.Time) {
 	dropped := p.dropIdle(start)
-	p.opts.Logger.Warn("connection to backend server is unresponsive",
+	p.opts.Logger.WarnContext(ctx, "connection to backend server is unresponsive",
 		"backend_server", p.server.ID, "idle_connections_closed", dropped)
 }
 
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -48,12 +50,13 @@
 		ctx, span := e.config.Tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
 			attribute.String("request_id", c.id), attribute.String("team", c.team), attribute.String("service", c.service)))
 		defer span.End()
+		ctx, decided := withDecision(telemetry.WithRequestID(ctx, c.id))
 		r.Body = http.MaxBytesReader(w, r.Body, e.config.MaxRequestBytes)
 		reply, err := handle(w, r.WithContext(ctx), c)
 		if err != nil {
 			span.RecordError(err)
 		}
-		e.reply(w, c, reply, err)
+		e.reply(ctx, w, c, decided, reply, err)
 		e.config.Metrics.Observe(name, e.config.Now().Sub(started))
 	}
 }
@@ -84,7 +87,7 @@
 }
 
 // reply writes the answer or the refusal as JSON.
-func (e *Entry) reply(w http.ResponseWriter, c call, body any, err error) {
+func (e *Entry) reply(ctx context.Context, w http.ResponseWriter, c call, decided *decision, body any, err error) {
 	status := http.StatusOK
 	if err != nil {
 		refusal := asRefusal(err)
@@ -96,13 +99,13 @@
 			seconds := time.Duration(refusal.RetryAfterMs)*time.Millisecond + time.Second - 1
 			w.Header().Set("Retry-After", fmt.Sprint(int(seconds/time.Second)))
 		}
-		e.config.Logger.Debug("request refused", "request", c.id, "team", c.team, "service", c.service, "run", refusal.Run, "reason", refusal.Error())
+		e.logRefusal(ctx, c, decided, refusal)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Sycamorelift-Request", c.id)
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(body); err != nil {
-		e.config.Logger.Debug("reply not delivered", "request", c.id, "error", err)
+		e.config.Logger.DebugContext(ctx, "reply not delivered", "error", err)
 	}
 }
 
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -127,7 +127,7 @@
 		return nil
 	}
 	if err := q.account.Add(covered); err != nil {
-		q.entry.config.Logger.Warn("reply rejected", "request", q.request.RequestID, "backend_server", a.server.ID, "error", err)
+		q.entry.config.Logger.WarnContext(ctx, "reply rejected", "backend_server", a.server.ID, "error", err)
 		return q.retry(ctx, s, "reply does not match the manifest")
 	}
 	for _, h := range hits {
@@ -249,7 +249,7 @@
 	now := q.now()
 	q.entry.config.View.ReportCall(d.owner.ID, false, now)
 	q.entry.config.Metrics.Count("owners.lost", 1)
-	q.entry.config.Logger.Debug("owner lost", "request", q.request.RequestID, "owner", d.owner.ID, "error", cause)
+	q.entry.config.Logger.DebugContext(ctx, "owner lost", "owner", d.owner.ID, "error", cause)
 	q.failOver(ctx, d, now)
 }
 
--- /dev/null
+++ b/pkg/entry/refusallog.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+)
+
+// logRefusal writes the record by which an operator traces a refusal from its
+// request id to the signed rule or the shortage. Refusals of faulty requests
+// are not the operator's concern.
+func (e *Entry) logRefusal(ctx context.Context, c call, d *decision, refusal *Refusal) {
+	level := slog.LevelInfo
+	if refusal.Reason.Kind == ReasonInvalid {
+		level = slog.LevelDebug
+	}
+	reason := refusal.Reason
+	version := reason.BundleVersion
+	if version == 0 {
+		version = d.policy.BundleVersion
+	}
+	e.config.Logger.LogAttrs(ctx, level, "request refused",
+		slog.String("team", c.team),
+		slog.String("service", c.service),
+		slog.String("caller", d.policy.Caller),
+		slog.String("class", d.policy.Class),
+		slog.String("run", string(refusal.Run)),
+		slog.String("kind", string(reason.Kind)),
+		slog.String("rule", reason.Rule),
+		slog.String("shortage", reason.Shortage),
+		slog.Int64("bundle_version", version),
+		slog.String("signer", reason.Signer),
+		slog.String("detail", reason.Detail),
+		slog.Int("status", refusal.Status))
+}
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -34,7 +34,7 @@
 func (e *Entry) Search(ctx context.Context, request SearchRequest) (*Answer, error) {
 	arrived := e.config.Now()
 	stale := e.config.Control.EnsureFresh(ctx)
-	policy, err := e.policy(request.Team, request.Service, request.Token, bundle.KindSearch)
+	policy, err := e.policy(ctx, request.Team, request.Service, request.Token, bundle.KindSearch)
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +57,7 @@
 }
 
 // policy resolves the policy under the bundle in force.
-func (e *Entry) policy(team, service, token string, kind bundle.ServiceKind) (bundle.Policy, error) {
+func (e *Entry) policy(ctx context.Context, team, service, token string, kind bundle.ServiceKind) (bundle.Policy, error) {
 	verified, ok := e.config.Control.Bundle()
 	if !ok {
 		return bundle.Policy{}, shortage(NotRun, "bundle", "this instance holds no bundle yet")
@@ -66,6 +66,7 @@
 	if err != nil {
 		return bundle.Policy{}, invalid(policyStatus(err), err.Error())
 	}
+	recordPolicy(ctx, policy)
 	if policy.Kind != kind {
 		return bundle.Policy{}, invalid(http.StatusBadRequest, fmt.Sprintf("service %s takes no %s requests", service, kind))
 	}
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -45,7 +45,7 @@
 	}
 	arrived := e.config.Now()
 	stale := e.config.Control.EnsureFresh(r.Context())
-	policy, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission)
+	policy, err := e.policy(r.Context(), c.team, c.service, c.token, bundle.KindSubmission)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/entry/ticket.go
+++ b/pkg/entry/ticket.go
@@ -27,7 +27,7 @@
 		return nil, err
 	}
 	e.config.Control.EnsureFresh(r.Context())
-	if _, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission); err != nil {
+	if _, err := e.policy(r.Context(), c.team, c.service, c.token, bundle.KindSubmission); err != nil {
 		return nil, err
 	}
 	issued, err := e.config.Submissions.Ticket(r.Context(), submission.TicketRequest{
--- a/pkg/instance/fleet_test.go
+++ b/pkg/instance/fleet_test.go
@@ -24,7 +24,6 @@
 	spec      standin.DeploymentSpec
 	instances int
 	traces    trace.TracerProvider
-	log       io.Writer
 }
 
 // startFleet starts a fleet that ends with the test and returns what its
@@ -56,14 +55,10 @@
 	s.Trust = spec.Trust
 	s.Shutdown.LoadBalancerDelay = time.Millisecond
 	s.BootstrapTimeout = 10 * time.Second
-	s.Log.Level, s.Log.Format = slog.LevelInfo, settings.LogJSON
-	log := options.log
-	if log == nil {
-		log = io.Discard
-	}
+	s.Log.Level = slog.LevelError
 	built, err := instance.New(ctx, &s, instance.Options{
 		TracerProvider: options.traces,
-		LogOutput:      log,
+		LogOutput:      io.Discard,
 		CallerListener: spec.Listeners.Caller, PeerListener: spec.Listeners.Peer, OperatorListener: spec.Listeners.Operator,
 	})
 	if err != nil {
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -82,9 +82,9 @@
 	found, err := r.pool.Search(ctx, a.searchCall())
 	config.Guard.End(a.request.Fingerprint, r.server.ID, crashOutcome(err), config.Now())
 	if err != nil {
-		return a.failed(r, err)
+		return a.failed(ctx, r, err)
 	}
-	a.owner.observe(r, found.Draining, found.Incarnation)
+	a.owner.observe(ctx, r, found.Draining, found.Incarnation)
 	return a.succeeded(found)
 }
 
@@ -112,14 +112,14 @@
 	return shardReply{result: result, hits: hits}
 }
 
-func (a *attemptRun) failed(r *replica, err error) shardReply {
+func (a *attemptRun) failed(ctx context.Context, r *replica, err error) shardReply {
 	var call *backend.CallError
 	if !errors.As(err, &call) {
 		result := a.result(peerpb.ResultStatus_UNREACHABLE, peerpb.RunState_RUN_STATE_UNKNOWN)
 		result.Detail = err.Error()
 		return shardReply{result: result}
 	}
-	a.owner.observe(r, call.Draining, call.Incarnation)
+	a.owner.observe(ctx, r, call.Draining, call.Incarnation)
 	result := a.result(call.Status, call.Run)
 	result.Snapshots = call.Snapshots
 	result.Draining = call.Draining
--- /dev/null
+++ b/pkg/owner/log_test.go
@@ -0,0 +1,56 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
+	"gotest.tools/v3/assert"
+)
+
+type testControl struct{}
+
+func (testControl) EnsureFresh(context.Context) bool { return false }
+func (testControl) Sender() *peerpb.Sender           { return &peerpb.Sender{} }
+func (testControl) AddNotice(*peerpb.Notice)         {}
+
+// Guards against records of an owner that cannot be joined with the request
+// during which they were written: its id comes with the entry's message.
+func TestLogNamesTheRequest(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Sycamorelift-Draining", "1")
+		w.Header().Set("Sycamorelift-Incarnation", "inc-1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"not_run": true, "reason": "draining"}`)
+	}))
+	defer server.Close()
+	view := membership.NewView("i1", "a")
+	view.Replace(membership.Members{
+		Instances: []membership.Instance{{ID: "i1", Zone: "a", State: membership.StateLive}},
+		BackendServers: []membership.BackendServer{{ID: "b1", Team: "office", Service: "renewal-search", Zone: "a",
+			Address: server.Listener.Addr().String(), State: membership.StateLive}},
+	}, 1)
+	var log bytes.Buffer
+	logger, err := telemetry.NewLogger(&log, telemetry.LogOptions{Format: telemetry.LogJSON})
+	assert.NilError(t, err)
+	o := New(Config{SelfID: "i1", View: view, Control: testControl{}, Guard: crashguard.New(), Logger: logger, Now: time.Now})
+	defer o.replicas.closeAll()
+	err = o.Search(t.Context(), &peerpb.SearchRequest{
+		RequestId: "r1", TimeoutMs: 3000, Slots: 1, Connections: 4,
+		Attempts: []*peerpb.ShardAttempt{{Attempt: 1, BackendServerId: "b1"}},
+	}, func(*peerpb.SearchFrame) error { return nil })
+	assert.NilError(t, err)
+	var record map[string]any
+	assert.NilError(t, json.Unmarshal(log.Bytes(), &record), log.String())
+	assert.Equal(t, record["msg"], "backend server is draining")
+	assert.Equal(t, record["request_id"], "r1")
+}
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -81,13 +81,13 @@
 func (o *Owner) String() string { return "owner" }
 
 // observe reports the backend server's own drain signal.
-func (o *Owner) observe(r *replica, draining bool, incarnation string) {
+func (o *Owner) observe(ctx context.Context, r *replica, draining bool, incarnation string) {
 	config := o.config
 	config.View.SeenIncarnation(r.server.ID, incarnation)
 	if !draining || !config.View.Drain(r.server.ID, incarnation, config.Now()) {
 		return
 	}
-	config.Logger.Info("backend server is draining", "backend_server", r.server.ID)
+	config.Logger.InfoContext(ctx, "backend server is draining", "backend_server", r.server.ID)
 	config.Control.AddNotice(&peerpb.Notice{
 		Kind:        peerpb.Notice_BACKEND_SERVER_DRAINING,
 		Subject:     r.server.ID,
--- a/pkg/owner/search.go
+++ b/pkg/owner/search.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
 
 // Emit passes one frame to the entry instance. An error ends the search.
@@ -20,6 +21,7 @@
 // The first frame has no results: it tells the entry instance that the owner
 // has accepted the request. The last frame has Last set.
 func (o *Owner) Search(ctx context.Context, request *peerpb.SearchRequest, emit Emit) error {
+	ctx = telemetry.WithRequestID(ctx, request.RequestId)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.TimeoutMs)*time.Millisecond)
 	defer cancel()
 	first := &peerpb.SearchFrame{RequestId: request.RequestId, Sender: o.config.Control.Sender()}
--- a/pkg/owner/submissionslot.go
+++ b/pkg/owner/submissionslot.go
@@ -38,9 +38,9 @@
 	}, checked)
 	s.service = config.Now().Sub(started)
 	if err != nil {
-		return nil, s.failed(err)
+		return nil, s.failed(ctx, err)
 	}
-	s.owner.observe(s.replica, reply.Draining, reply.Incarnation)
+	s.owner.observe(ctx, s.replica, reply.Draining, reply.Incarnation)
 	return reply.Result, nil
 }
 
@@ -50,11 +50,11 @@
 	return now.Before(s.attempt.Deadline) && s.owner.config.View.MayReceive(s.replica.server.ID, now)
 }
 
-func (s *submissionSlot) failed(err error) error {
+func (s *submissionSlot) failed(ctx context.Context, err error) error {
 	var call *backend.CallError
 	if errors.As(err, &call) {
 		s.shed = call.Status == peerpb.ResultStatus_SHED
-		s.owner.observe(s.replica, call.Draining, call.Incarnation)
+		s.owner.observe(ctx, s.replica, call.Draining, call.Incarnation)
 	}
 	return attemptError(err)
 }
--- a/pkg/submission/issuer.go
+++ b/pkg/submission/issuer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 	"github.com/sycamorelift/sycamorelift/pkg/ticket"
 	"github.com/twitchtv/twirp"
 )
@@ -51,6 +52,7 @@
 // earlier message has redeemed the ticket. It returns no error: each outcome,
 // refusals included, is a statement in the reply.
 func (i *Issuer) Redeem(ctx context.Context, request *peerpb.RedeemRequest) (*peerpb.RedeemReply, error) {
+	ctx = telemetry.WithRequestID(ctx, request.RequestId)
 	redemption, err := i.config.Ledger.Begin(request.Ticket, request.Team, request.Service, request.Key, request.Payload)
 	if err != nil {
 		return i.refuseTicket(err), nil
