entry: refuse unknown paths and methods in JSON

They got net/http's plain text replies, which a caller's JSON client cannot read. They are refusals of kind invalid with 404 or 405 now.

The test failed before with: invalid character 'p' after top-level value: 404 page not found.

--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -22,6 +22,7 @@
 	mux.HandleFunc("POST /v1/{team}/{service}/search", e.traced("entry.search", e.handleSearch))
 	mux.HandleFunc("POST /v1/{team}/{service}/tickets", e.traced("entry.ticket", e.handleTicket))
 	mux.HandleFunc("POST /v1/{team}/{service}/submit", e.traced("entry.submit", e.handleSubmit))
+	e.addFallbacks(mux)
 	return mux
 }
 
