--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	stale := e.config.Control.EnsureFresh(r.Context())
-	policy, err := e.policy(c.team, c.service, c.token, bundle.KindSubmission)
+	policy, err := e.policy(r.Context(), c.team, c.service, c.token, bundle.KindSubmission)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -84,9 +84,9 @@
 	config.Guard.End(a.request.Fingerprint, r.server.ID, crashOutcome(err), config.Now())
 	if err != nil {
 		a.reportLoss(r, err)
-		return a.failed(r, err)
+		return a.failed(ctx, r, err)
 	}
-	a.owner.observe(r, found.Draining, found.Incarnation)
+	a.owner.observe(ctx, r, found.Draining, found.Incarnation)
 	if !a.matchesManifest(found) {
 		return a.mismatched(found)
 	}
@@ -149,14 +149,14 @@
 	return shardReply{result: result, hits: hits}
 }
 
-func (a *attemptRun) failed(r *replica, err error) shardReply {
+func (a *attemptRun) failed(ctx context.Context, r *replica, err error) shardReply {
 	var call *backend.CallError
 	if !errors.As(err, &call) {
 		result := a.result(peerpb.ResultStatus_UNREACHABLE, peerpb.RunState_RUN_STATE_UNKNOWN)
 		result.Detail = err.Error()
 		return shardReply{result: result}
 	}
-	a.owner.observe(r, call.Draining, call.Incarnation)
+	a.owner.observe(ctx, r, call.Draining, call.Incarnation)
 	result := a.result(call.Status, call.Run)
 	result.Snapshots = call.Snapshots
 	result.Draining = call.Draining
