--- a/pkg/capacity/cpu.go
+++ b/pkg/capacity/cpu.go
@@ -11,13 +11,14 @@
 // depends on what else runs on the machine.
 func MeasureCPU(b *testing.B) (report func()) {
 	b.Helper()
-	before := cpuTime()
+	before := CPUTime()
 	return func() {
-		b.ReportMetric(float64(cpuTime()-before)/float64(b.N), "cpu-ns/op")
+		b.ReportMetric(float64(CPUTime()-before)/float64(b.N), "cpu-ns/op")
 	}
 }
 
-func cpuTime() time.Duration {
+// CPUTime returns the processor time that the process has used, 0 if unknown.
+func CPUTime() time.Duration {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		return 0
--- a/pkg/entry/bench_test.go
+++ b/pkg/entry/bench_test.go
@@ -41,7 +41,10 @@
 
 // benchOwners answers at once without a network: all results of an owner in one
 // frame or each in its own.
-type benchOwners struct{ batched bool }
+type benchOwners struct {
+	batched bool
+	hits    [][]*peerpb.Hit
+}
 
 func (o benchOwners) Search(_ context.Context, _ membership.Instance, r *peerpb.SearchRequest, emit owner.Emit) error {
 	if err := emit(&peerpb.SearchFrame{RequestId: r.RequestId}); err != nil {
@@ -49,7 +52,7 @@
 	}
 	frame := &peerpb.SearchFrame{RequestId: r.RequestId}
 	for i, a := range r.Attempts {
-		addBenchReply(frame, a, r.Snapshot)
+		o.addReply(frame, a, r.Snapshot)
 		frame.Last = i == len(r.Attempts)-1
 		if o.batched && !frame.Last {
 			continue
@@ -63,16 +66,26 @@
 	return nil
 }
 
-func addBenchReply(frame *peerpb.SearchFrame, a *peerpb.ShardAttempt, version int64) {
+func (o benchOwners) addReply(frame *peerpb.SearchFrame, a *peerpb.ShardAttempt, version int64) {
 	frame.Results = append(frame.Results, &peerpb.ShardResult{
 		Shard: a.Shard, Attempt: a.Attempt, BackendServerId: a.BackendServerId,
 		Status: peerpb.ResultStatus_OK, Run: peerpb.RunState_RUN_STATE_RUN,
 		From: a.From, To: a.To, Documents: a.Documents, Snapshot: version,
 	})
-	for i := range benchHitsPerShard {
-		key := fmt.Sprintf("%06d-%02d", a.Shard, i)
-		frame.Hits = append(frame.Hits, &peerpb.Hit{Shard: a.Shard, Key: key, Score: 1 / float64(i+1), Document: key})
+	frame.Hits = append(frame.Hits, o.hits[a.Shard]...)
+}
+
+// benchHits are the hits of each shard, built in advance so that building them
+// is not measured.
+func benchHits(shards int) [][]*peerpb.Hit {
+	hits := make([][]*peerpb.Hit, shards)
+	for shard := range hits {
+		for i := range benchHitsPerShard {
+			key := fmt.Sprintf("%06d-%02d", shard, i)
+			hits[shard] = append(hits[shard], &peerpb.Hit{Shard: int32(shard), Key: key, Score: 1 / float64(i+1), Document: key})
+		}
 	}
+	return hits
 }
 
 // benchFleet returns an entry and a snapshot of two replicas per shard. There
@@ -99,7 +112,7 @@
 	view := membership.NewView("i0", "z0")
 	view.Apply(members, 1)
 	return New(Config{
-		Self: members.Instances[0], View: view, Control: benchControl{}, Owners: benchOwners{batched},
+		Self: members.Instances[0], View: view, Control: benchControl{}, Owners: benchOwners{batched, benchHits(shards)},
 		Selector: selection.New(selection.Config{}, rand.New(rand.NewPCG(1, 1))),
 		Guard:    crashguard.New(), Served: snapshot.NewServed(), Metrics: benchMetrics{},
 		Logger: slog.New(slog.DiscardHandler), Now: time.Now,
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -18,6 +18,7 @@
 const (
 	benchLimit        = 50
 	benchHitsPerShard = 10
+	maxBenchAttempts  = 256
 )
 
 type benchObserver struct{}
@@ -55,12 +56,23 @@
 		From: a.From, To: a.To, Documents: a.Documents, Snapshot: version, Snapshots: []int64{7, 8},
 		QueueUs: 900, ServiceUs: 4000,
 	})
-	for i := range benchHitsPerShard {
-		key := fmt.Sprintf("%06d-%02d", a.Shard, i)
-		frame.Hits = append(frame.Hits, &peerpb.Hit{Shard: a.Shard, Key: key, Score: 1 / float64(i+1), Document: key + " and a title of the document"})
-	}
+	frame.Hits = append(frame.Hits, benchHits[a.Shard]...)
 }
 
+// benchHits are the hits of each shard, built in advance so that building them
+// is not measured.
+var benchHits = func() (hits [maxBenchAttempts][]*peerpb.Hit) {
+	for shard := range hits {
+		for i := range benchHitsPerShard {
+			key := fmt.Sprintf("%06d-%02d", shard, i)
+			hits[shard] = append(hits[shard], &peerpb.Hit{
+				Shard: int32(shard), Key: key, Score: 1 / float64(i+1), Document: key + " and a title of the document",
+			})
+		}
+	}
+	return hits
+}()
+
 func benchRequest(attempts int) *peerpb.SearchRequest {
 	r := &peerpb.SearchRequest{
 		Sender:    &peerpb.Sender{InstanceId: "instance-0001", Incarnation: "5a1c7f2e", BundleVersion: 7, BundleDigest: "0123456789abcdef"},
@@ -129,7 +141,7 @@
 	listener, to := benchServer(b, searcher)
 	client := NewClient(nil)
 	defer client.Close()
-	for _, attempts := range []int{1, 4, 16, 64, 256} {
+	for _, attempts := range []int{1, 4, 16, 64, maxBenchAttempts} {
 		for _, mode := range []string{"alone", "streamed", "batched"} {
 			requests, request := 1, benchRequest(attempts)
 			if mode == "alone" {
--- a/pkg/peer/control_bench_test.go
+++ b/pkg/peer/control_bench_test.go
@@ -46,7 +46,8 @@
 }
 
 // BenchmarkPeerConnections opens connections between instances and reports the
-// memory of both ends and, while they idle, the bytes of their pings.
+// memory of both ends and, while they idle, the bytes and the processor time of
+// their pings.
 func BenchmarkPeerConnections(b *testing.B) {
 	const idle = 4 * time.Second
 	for _, connections := range []int{20, 40, 80, 160} {
@@ -60,8 +61,9 @@
 					benchSearches(b, clients[i], to, benchRequest(1), 1)
 				}
 				b.ReportMetric(float64(heapAndStacks()-before), "memoryB")
-				sent := listener.bytes.Load()
+				sent, used := listener.bytes.Load(), capacity.CPUTime()
 				time.Sleep(idle)
+				b.ReportMetric(float64(capacity.CPUTime()-used)/idle.Seconds(), "pingCPU-ns/s")
 				b.ReportMetric(float64(listener.bytes.Load()-sent)/idle.Seconds(), "pingB/s")
 				for _, c := range clients {
 					c.Close()
