--- a/pkg/coverage/account.go
+++ b/pkg/coverage/account.go
@@ -13,16 +13,23 @@
 // to one query and is not safe for concurrent use.
 type Account struct {
 	snapshot snapshot.Snapshot
-	total    int64
-	covered  int64
+	byShard  map[int]snapshot.Partition
+	total    int64          // documents
+	covered  int64          // documents of answered shards
+	lost     int64          // documents of failed shards
 	answered map[int]bool   // by shard
 	failed   map[int]string // reason, by shard
 }
 
 // NewAccount returns an account in which nothing is covered.
 func NewAccount(s snapshot.Snapshot) *Account {
+	byShard := make(map[int]snapshot.Partition, len(s.Partitions))
+	for _, p := range s.Partitions {
+		byShard[p.Shard] = p
+	}
 	return &Account{
 		snapshot: s,
+		byShard:  byShard,
 		total:    s.Documents(),
 		answered: make(map[int]bool),
 		failed:   make(map[int]string),
@@ -33,7 +40,7 @@
 // from the manifest's is rejected with a *MismatchError; a second reply of one
 // shard is ignored.
 func (a *Account) Add(got snapshot.Partition) error {
-	want, ok := a.partition(got.Shard)
+	want, ok := a.byShard[got.Shard]
 	if !ok || want != got {
 		return &MismatchError{Want: want, Got: got}
 	}
@@ -42,27 +49,28 @@
 	}
 	a.answered[got.Shard] = true
 	a.covered += want.Documents
-	delete(a.failed, got.Shard)
+	if _, failed := a.failed[got.Shard]; failed {
+		a.lost -= want.Documents
+		delete(a.failed, got.Shard)
+	}
 	return nil
 }
 
 // Fail records why a shard will not answer.
 func (a *Account) Fail(shard int, reason string) {
-	if !a.answered[shard] {
-		a.failed[shard] = reason
+	if a.answered[shard] {
+		return
+	}
+	if _, known := a.failed[shard]; !known {
+		a.lost += a.byShard[shard].Documents
 	}
+	a.failed[shard] = reason
 }
 
 // Reachable returns the fraction that is covered if every shard answers that
 // has not failed.
 func (a *Account) Reachable() float64 {
-	lost := int64(0)
-	for _, p := range a.snapshot.Partitions {
-		if _, failed := a.failed[p.Shard]; failed {
-			lost += p.Documents
-		}
-	}
-	return fraction(a.total-lost, a.total)
+	return fraction(a.total-a.lost, a.total)
 }
 
 // Report returns the coverage so far; shards without an answer are missing
@@ -91,15 +99,6 @@
 	return Missing{Shard: p.Shard, From: p.From, To: p.To, Documents: p.Documents, Reason: reason}
 }
 
-func (a *Account) partition(shard int) (snapshot.Partition, bool) {
-	for _, p := range a.snapshot.Partitions {
-		if p.Shard == shard {
-			return p, true
-		}
-	}
-	return snapshot.Partition{}, false
-}
-
 // fraction returns part/total; an empty index is wholly covered.
 func fraction(part, total int64) float64 {
 	if total == 0 {
