--- /dev/null
+++ b/pkg/controlplane/bootstrap_bench_test.go
@@ -0,0 +1,128 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/sycamorelift/sycamorelift/pkg/capacity"
+	"github.com/sycamorelift/sycamorelift/pkg/configclient"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/peer"
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+)
+
+// benchHolder serves the documents of a plane to other instances.
+type benchHolder struct {
+	peerpb.Peer
+	plane *Plane
+}
+
+func (h benchHolder) Exchange(ctx context.Context, m *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return h.plane.Exchange(ctx, m)
+}
+
+func (h benchHolder) FetchDocument(ctx context.Context, m *peerpb.FetchDocumentRequest) (*peerpb.FetchDocumentReply, error) {
+	return h.plane.FetchDocument(ctx, m)
+}
+
+// distantPeers delays each call by a round trip.
+type distantPeers struct {
+	*peer.Client
+	rtt time.Duration
+}
+
+func (p distantPeers) Exchange(ctx context.Context, to membership.Instance, m *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	time.Sleep(p.rtt)
+	return p.Client.Exchange(ctx, to, m)
+}
+
+func (p distantPeers) FetchDocument(ctx context.Context, to membership.Instance, m *peerpb.FetchDocumentRequest) (*peerpb.FetchDocumentReply, error) {
+	time.Sleep(p.rtt)
+	return p.Client.FetchDocument(ctx, to, m)
+}
+
+// distantService delays each call by a round trip.
+type distantService struct {
+	*simReader
+	rtt time.Duration
+}
+
+func (s distantService) Get(ctx context.Context, key string) (configclient.Document, error) {
+	time.Sleep(s.rtt)
+	return s.simReader.Get(ctx, key)
+}
+
+func (s distantService) Watch(ctx context.Context, after int64, wait time.Duration) (configclient.Change, error) {
+	time.Sleep(s.rtt)
+	return s.simReader.Watch(ctx, after, wait)
+}
+
+// benchHolders is a fleet whose listed instances all are one loopback server
+// that holds the documents.
+func benchHolders(b *testing.B, instances int) *simNetwork {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	n := newSimNetwork(instances, 8, 7)
+	for _, s := range n.alive {
+		s.Address = listener.Addr().String()
+	}
+	n.service.servers = benchServers(instances)
+	n.service.publishMembers()
+	for i := range benchIndexes {
+		n.service.publish(IndexKey("office", fmt.Sprint(i)), benchManifest(i, 30))
+	}
+	n.publishPadded(2)
+	n.alive[0].start()
+	holder := n.alive[0].plane
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	handler := peer.NewServer(benchHolder{plane: holder}, nil, holder, noop.NewTracerProvider().Tracer(""))
+	server := &http.Server{Handler: handler, Protocols: protocols}
+	b.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return n
+}
+
+// BenchmarkBootstrap starts an instance that knows two seeds until it holds all
+// documents, over loopback. By round trip, its slope is the number of calls that
+// wait for one another; by list entries, it is the transfer and decoding.
+func BenchmarkBootstrap(b *testing.B) {
+	target := benchHolders(b, 440)
+	for _, rtt := range []int{0, 5, 10, 20} {
+		b.Run(fmt.Sprintf("rtt-ms=%d", rtt), func(b *testing.B) {
+			benchBootstrap(b, target, time.Duration(rtt)*time.Millisecond)
+		})
+	}
+	for _, instances := range []int{40, 220, 440, 1000} {
+		n := benchHolders(b, instances)
+		b.Run(fmt.Sprintf("entries=%d", instances+len(n.service.servers)), func(b *testing.B) { benchBootstrap(b, n, 0) })
+	}
+}
+
+func benchBootstrap(b *testing.B, n *simNetwork, rtt time.Duration) {
+	defer capacity.MeasureCPU(b)()
+	for i := range b.N {
+		self := membership.Instance{ID: "new", Zone: "z0", Address: "127.0.0.1:0", State: membership.StateLive}
+		store, view, client := NewStore(simVerify, time.Now, nil), membership.NewView(self.ID, self.Zone), peer.NewClient(nil)
+		plane := New(Config{
+			Self: self, Incarnation: fmt.Sprint(i), Store: store, View: view, Now: time.Now,
+			Service: distantService{&simReader{n.service, n.alive[0]}, rtt},
+			Peers:   distantPeers{client, rtt},
+			Seeds:   []membership.Instance{n.alive[0].Instance, n.alive[1].Instance},
+			Rand:    rand.New(rand.NewPCG(1, 1)),
+		})
+		if err := plane.Bootstrap(b.Context()); err != nil || len(store.Versions()) != benchIndexes+2 {
+			b.Fatal(err, store.Versions())
+		}
+		client.Close()
+	}
+}
