controlplane: report when the service or confirmations are lost

An operator could not see from the log that the configuration service had stopped answering an instance, nor that decisions ran on documents that nobody confirms. Both are logged once at warn and once at info when they end, and counted in control.service_lost and control.unconfirmed. Two calls in a row have to fail, so that one lost packet is not reported; a call that the instance gave up itself says nothing.

--- a/pkg/controlplane/config.go
+++ b/pkg/controlplane/config.go
@@ -23,8 +23,8 @@
 	FetchDocument(ctx context.Context, to membership.Instance, m *peerpb.FetchDocumentRequest) (*peerpb.FetchDocumentReply, error)
 }
 
-// Config is the input of New. All fields but Seeds, Logger and
-// ExchangeInterval are required.
+// Config is the input of New. All fields but Seeds, Logger, Count,
+// Freshness and ExchangeInterval are required.
 type Config struct {
 	Self        membership.Instance
 	Incarnation string
@@ -40,6 +40,8 @@
 	Now    func() time.Time
 	Rand   *rand.Rand // owned by the plane from then on
 	Logger *slog.Logger
+	// Count adds n to a counter of the instance's metrics.
+	Count func(name string, n int64)
 	// Freshness is the age of the last confirmation above which decisions wait
 	// for a refresh, FreshnessBound when 0.
 	Freshness time.Duration
--- a/pkg/controlplane/exchange.go
+++ b/pkg/controlplane/exchange.go
@@ -80,7 +80,7 @@
 	if !p.obtain(ctx, versions) {
 		return false
 	}
-	p.fresh.confirm(asked)
+	p.confirm(asked)
 	return true
 }
 
--- a/pkg/controlplane/plane.go
+++ b/pkg/controlplane/plane.go
@@ -44,6 +44,8 @@
 	interval    time.Duration
 
 	fresh     *freshness
+	health    health
+	count     func(name string, n int64)
 	refreshes singleflight.Group
 	draining  atomic.Bool
 	pushDue   atomic.Bool
@@ -75,6 +77,7 @@
 		now:         config.Now,
 		log:         orDiscard(config.Logger),
 		interval:    config.ExchangeInterval,
+		count:       config.Count,
 		fresh:       newFreshness(config.Now(), config.Freshness),
 		random:      config.Rand,
 		wanted:      newWanted(),
@@ -87,6 +90,9 @@
 	if p.interval <= 0 {
 		p.interval = defaultExchangeInterval
 	}
+	if p.count == nil {
+		p.count = func(string, int64) {}
+	}
 	p.tasks = []*task{
 		newTask("read", p.readStep),
 		newTask("exchange", p.exchangeStep),
--- a/pkg/controlplane/refresh.go
+++ b/pkg/controlplane/refresh.go
@@ -23,11 +23,11 @@
 		return false
 	}
 	if p.fresh.isPausing(now) {
-		return true
+		return p.decided(true)
 	}
 	select {
 	case result := <-p.refreshes.DoChan("", p.refreshShared):
-		return !result.Val.(bool)
+		return p.decided(!result.Val.(bool))
 	case <-ctx.Done():
 		return true
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -118,6 +118,7 @@
 		Now:         time.Now,
 		Rand:        i.random(1),
 		Logger:      i.logger,
+		Count:       (&metrics{registry: i.registry}).Count,
 		Freshness:   i.settings.Freshness,
 	})
 	return nil
