--- a/pkg/controlplane/main_test.go
+++ b/pkg/controlplane/main_test.go
@@ -1,21 +1,11 @@
 package controlplane
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/sycamorelift/sycamorelift/internal/rapidmain"
 )
 
 // TestMain fixes the seed of all state machines, so that the verdict is the same
 // in every run. The flags -rapid.seed and -rapid.checks search further.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"}
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidmain.Run(m, rapidmain.Options{Checks: 200}) }
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -2,28 +2,18 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/internal/rapidmain"
 	"pgregory.net/rapid"
 
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 )
 
 // TestMain fixes the seed of the generators, so that every run checks the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	if err := errors.Join(flag.Set("rapid.steps", "100"), flag.Set("rapid.checks", "400")); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidmain.Run(m, rapidmain.Options{Checks: 400, Steps: 100}) }
 
 const (
 	testZones  = 3
--- a/pkg/selection/selector_test.go
+++ b/pkg/selection/selector_test.go
@@ -1,14 +1,12 @@
 package selection
 
 import (
-	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/internal/rapidmain"
 	"pgregory.net/rapid"
 
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
@@ -16,16 +14,7 @@
 )
 
 // TestMain fixes the seed of the generators, so that every run checks the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	if err := errors.Join(flag.Set("rapid.steps", "60"), flag.Set("rapid.checks", "40")); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidmain.Run(m, rapidmain.Options{Checks: 40, Steps: 60}) }
 
 const testService = "t/s"
 
--- a/pkg/submission/submission_test.go
+++ b/pkg/submission/submission_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"net"
 	"os"
 	"slices"
@@ -12,21 +11,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/internal/rapidmain"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"github.com/sycamorelift/sycamorelift/pkg/ticket"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "300")
-	_ = flag.Set("rapid.steps", "100")
-	_ = flag.Set("rapid.shrinktime", "5s")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidmain.Run(m, rapidmain.Options{Checks: 300, Steps: 100}) }
 
 // Guards against a submission that runs twice, a "not run" that is false then
 // or later, and an answer that belongs to another submission.
