--- a/pkg/capacity/fit.go
+++ b/pkg/capacity/fit.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "math"
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
 
 // Fit is the line y = Intercept + Slope x with the least sum of squared errors.
 type Fit struct {
@@ -14,39 +18,21 @@
 
 // FitLine fits the medians of at least two points of different X.
 func FitLine(points []Point) Fit {
-	n, sumX, sumY := float64(len(points)), 0.0, 0.0
+	xs, ys := make([]float64, 0, len(points)), make([]float64, 0, len(points))
 	for _, p := range points {
-		sumX += p.X
-		sumY += p.Median
+		xs, ys = append(xs, p.X), append(ys, p.Median)
 	}
-	meanX, meanY := sumX/n, sumY/n
-	var xx, xy, yy float64
-	for _, p := range points {
-		dx, dy := p.X-meanX, p.Median-meanY
-		xx += dx * dx
-		xy += dx * dy
-		yy += dy * dy
+	f := Fit{R2: 1}
+	f.Intercept, f.Slope = stat.LinearRegression(xs, ys, nil, false)
+	if stat.Variance(ys, nil) > 0 {
+		f.R2 = stat.RSquared(xs, ys, nil, f.Intercept, f.Slope)
 	}
-	f := Fit{Slope: xy / xx, R2: 1}
-	f.Intercept = meanY - f.Slope*meanX
-	f.judge(points, yy)
-	return f
-}
-
-// judge fills in how well the line fits; variance is the sum of the squared
-// distances of the medians from their mean.
-func (f *Fit) judge(points []Point, variance float64) {
-	residual := 0.0
 	for _, p := range points {
-		e := p.Median - f.At(p.X)
-		residual += e * e
 		if p.Median != 0 {
-			f.WorstError = max(f.WorstError, math.Abs(e/p.Median))
+			f.WorstError = max(f.WorstError, math.Abs((p.Median-f.At(p.X))/p.Median))
 		}
 	}
-	if variance > 0 {
-		f.R2 = 1 - residual/variance
-	}
+	return f
 }
 
 // At returns the line's value at x.
--- a/pkg/capacity/plot.go
+++ b/pkg/capacity/plot.go
@@ -3,41 +3,95 @@
 import (
 	"fmt"
 	"io"
-	"strings"
 
 	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
 )
 
-// Size of a plot and its margins, in pixels.
+// Size of a plot.
 const (
-	plotWidth, plotHeight = 560, 340
-	left, right           = 80, 20
-	top, bottom           = 40, 50
-	ticks                 = 4
+	plotWidth  = 6 * vg.Inch
+	plotHeight = 4 * vg.Inch
 )
 
-var colours = []string{"#1f5fa8", "#c0392b", "#2e8b57", "#8e44ad"}
-
 // Plot draws series over the same parameter into one SVG, each with its
 // medians, ranges and fitted line.
 func Plot(w io.Writer, title string, series []Series) error {
-	p := newAxes(series)
-	var svg strings.Builder
-	fmt.Fprintf(&svg, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="11">`+"\n", plotWidth, plotHeight)
-	fmt.Fprintf(&svg, `<rect width="%d" height="%d" fill="white"/><text x="%d" y="18" font-size="13">%s</text>`+"\n", plotWidth, plotHeight, left, title)
-	p.draw(&svg, series[0])
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = series[0].Parameter
+	p.Y.Label.Text = series[0].Unit
+	p.X.Min, p.Y.Min = 0, 0
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Y.Tick.Marker = shortTicks{}
 	for i, s := range series {
-		p.drawSeries(&svg, s, colours[i%len(colours)], i)
+		if err := addSeries(p, s, i); err != nil {
+			return eris.Wrapf(err, "plot %s", s.Benchmark)
+		}
+	}
+	svg, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return eris.Wrap(err, "draw plot")
 	}
-	svg.WriteString("</svg>\n")
-	_, err := io.WriteString(w, svg.String())
+	_, err = svg.WriteTo(w)
 	return eris.Wrap(err, "write plot")
 }
 
-func text(svg *strings.Builder, x, y float64, anchor, colour, content string) {
-	fmt.Fprintf(svg, `<text x="%.1f" y="%.1f" text-anchor="%s" fill="%s">%s</text>`+"\n", x, y, anchor, colour, content)
+func addSeries(p *plot.Plot, s Series, number int) error {
+	points := seriesPoints(s.Points)
+	medians, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	ranges, err := plotter.NewYErrorBars(points)
+	if err != nil {
+		return err
+	}
+	f := FitLine(s.Points)
+	line, err := plotter.NewLine(fitted(s.Points, f))
+	if err != nil {
+		return err
+	}
+	colour := plotutil.Color(number)
+	medians.Color, ranges.Color, line.Color = colour, colour, colour
+	p.Add(medians, ranges, line)
+	p.Legend.Add(fmt.Sprintf("%s: %s + %s x, R² %.3f", s.Benchmark, short(f.Intercept), short(f.Slope), f.R2), line)
+	return nil
+}
+
+// fitted returns the ends of the line over the measured sizes.
+func fitted(points []Point, f Fit) plotter.XYs {
+	first, last := points[0].X, points[len(points)-1].X
+	return plotter.XYs{{X: first, Y: f.At(first)}, {X: last, Y: f.At(last)}}
 }
 
-func line(svg *strings.Builder, x1, y1, x2, y2 float64, colour string) {
-	fmt.Fprintf(svg, `<line x1="%.1f" y1="%.1f" x2="%.1f" y2="%.1f" stroke="%s"/>`+"\n", x1, y1, x2, y2, colour)
+// seriesPoints gives plotter the medians and their ranges.
+type seriesPoints []Point
+
+// Len returns the number of points.
+func (s seriesPoints) Len() int { return len(s) }
+
+// XY returns a median.
+func (s seriesPoints) XY(i int) (x, y float64) { return s[i].X, s[i].Median }
+
+// YError returns the distances of the range's ends from a median.
+func (s seriesPoints) YError(i int) (below, above float64) {
+	return s[i].Median - s[i].Least, s[i].Greatest - s[i].Median
+}
+
+// shortTicks labels an axis with decimal prefixes.
+type shortTicks struct{}
+
+// Ticks implements plot.Ticker.
+func (shortTicks) Ticks(least, most float64) []plot.Tick {
+	ticks := plot.DefaultTicks{}.Ticks(least, most)
+	for i := range ticks {
+		if ticks[i].Label != "" {
+			ticks[i].Label = short(ticks[i].Value)
+		}
+	}
+	return ticks
 }
