entry: name shortages and missing shards in one style

Shortages mixed words with spaces and hyphens, missing[].reason mixed names of Go constants with prose, and Refusal.Error ran its parts into each other. Shortages are typed constants now (index-manifest, crashing-request, internal, ...), and so are the reasons of missing shards (no-reply, given-up, no-replica, ..., or the lower-case status of a result).

The test of pkg/coverage changed a type only.

--- a/pkg/coverage/account.go
+++ b/pkg/coverage/account.go
@@ -18,7 +18,7 @@
 	covered  int64          // documents of answered shards
 	lost     int64          // documents of failed shards
 	answered map[int]bool   // by shard
-	failed   map[int]string // reason, by shard
+	failed   map[int]Reason // reason, by shard
 }
 
 // NewAccount returns an account in which nothing is covered.
@@ -32,7 +32,7 @@
 		byShard:  byShard,
 		total:    s.Documents(),
 		answered: make(map[int]bool),
-		failed:   make(map[int]string),
+		failed:   make(map[int]Reason),
 	}
 }
 
@@ -57,7 +57,7 @@
 }
 
 // Fail records why a shard will not answer.
-func (a *Account) Fail(shard int, reason string) {
+func (a *Account) Fail(shard int, reason Reason) {
 	if a.answered[shard] {
 		return
 	}
@@ -75,7 +75,7 @@
 
 // Report returns the coverage so far; shards without an answer are missing
 // with the given reason unless they failed with their own.
-func (a *Account) Report(pending string) Report {
+func (a *Account) Report(pending Reason) Report {
 	r := Report{
 		Documents:      a.covered,
 		DocumentsTotal: a.total,
@@ -92,7 +92,7 @@
 	return r
 }
 
-func (a *Account) missing(p snapshot.Partition, reason string) Missing {
+func (a *Account) missing(p snapshot.Partition, reason Reason) Missing {
 	if own, ok := a.failed[p.Shard]; ok {
 		reason = own
 	}
--- a/pkg/coverage/account_test.go
+++ b/pkg/coverage/account_test.go
@@ -75,7 +75,7 @@
 	assert.Equal(t, len(report.Missing), missing)
 	assert.Equal(t, account.Reachable(), fraction(total-lost, total))
 	for _, m := range report.Missing {
-		want := "pending"
+		want := Reason("pending")
 		if failed[m.Shard] {
 			want = "lost"
 		}
--- a/pkg/coverage/missing.go
+++ b/pkg/coverage/missing.go
@@ -6,5 +6,5 @@
 	From      string `json:"from"` // inclusive
 	To        string `json:"to"`   // exclusive, empty is unbounded
 	Documents int64  `json:"documents"`
-	Reason    string `json:"reason"`
+	Reason    Reason `json:"reason"`
 }
--- a/pkg/entry/finish.go
+++ b/pkg/entry/finish.go
@@ -33,11 +33,11 @@
 }
 
 // pendingReason tells why shards without a result are missing.
-func (q *query) pendingReason() string {
+func (q *query) pendingReason() coverage.Reason {
 	if q.hopeless() {
-		return "given up: the minimum coverage is out of reach"
+		return coverage.ReasonGivenUp
 	}
-	return "no reply within the deadline"
+	return coverage.ReasonNoReply
 }
 
 // hits merges the hits of all shards, best first.
@@ -67,7 +67,7 @@
 	if rule := findRule(q.policy, bundle.RuleCoverageBelow); rule != nil && report.Fraction < rule.Limit {
 		return byRule(q.policy, rule, statement, detail)
 	}
-	refusal := shortage(statement, "coverage", detail)
+	refusal := shortage(statement, ShortageCoverage, detail)
 	if !q.now().Before(q.deadline.Add(-replyReserve)) {
 		refusal.Status = http.StatusGatewayTimeout
 	}
@@ -76,7 +76,7 @@
 
 // firstMissing names a shard that failed, rather than one that was given up
 // because of it.
-func firstMissing(report coverage.Report, pending string) string {
+func firstMissing(report coverage.Report, pending coverage.Reason) string {
 	if len(report.Missing) == 0 {
 		return "none"
 	}
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -116,7 +116,7 @@
 		copied := *refusal
 		return &copied
 	}
-	return shortage(Unknown, "internal error", err.Error())
+	return shortage(Unknown, ShortageInternal, err.Error())
 }
 
 // decode reads one JSON body; errors name the place in the body.
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/pkg/coverage"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"github.com/sycamorelift/sycamorelift/pkg/selection"
 	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
@@ -126,14 +127,14 @@
 	s := a.shard
 	covered := snapshot.Partition{Shard: int(result.Shard), From: result.From, To: result.To, Documents: result.Documents}
 	if result.Snapshot != q.snapshot.Version {
-		return q.retry(ctx, s, "reply of another snapshot")
+		return q.retry(ctx, s, coverage.ReasonOtherSnapshot)
 	}
 	if s.done {
 		return nil
 	}
 	if err := q.account.Add(covered); err != nil {
 		q.entry.config.Logger.WarnContext(ctx, "reply rejected", "backend_server", a.server.ID, "error", err)
-		return q.retry(ctx, s, "reply does not match the manifest")
+		return q.retry(ctx, s, coverage.ReasonManifestMismatch)
 	}
 	for _, h := range hits {
 		if h.Shard == result.Shard {
@@ -162,7 +163,7 @@
 			return refuseCrashing(q.policy, Unknown, errors.New("the request crashed backend servers that ran it"))
 		}
 	}
-	return q.retry(ctx, a.shard, result.Status.String())
+	return q.retry(ctx, a.shard, reasonOf(result.Status))
 }
 
 // handleSnapshotGone tries a replica that may still have the snapshot, then a
@@ -179,12 +180,12 @@
 	if q.mayRestart && left > time.Duration(restartMinTimeLeft*float64(q.policy.Deadline)) {
 		return errSnapshotGone
 	}
-	q.fail(s, "snapshot no longer served")
+	q.fail(s, coverage.ReasonSnapshotGone)
 	return nil
 }
 
 // retry asks another replica if there is one and the budget allows it.
-func (q *query) retry(ctx context.Context, s *shardState, reason string) error {
+func (q *query) retry(ctx context.Context, s *shardState, reason coverage.Reason) error {
 	if s.done || s.running > 0 {
 		return nil
 	}
@@ -209,7 +210,7 @@
 // request that crashes servers must not take down all replicas of one shard.
 func (q *query) retryCanary(ctx context.Context, s *shardState) {
 	_, ok := q.next(s)
-	if ok && s.lastError == peerpb.ResultStatus_CRASHED.String() {
+	if ok && s.lastError == coverage.ReasonCrashed {
 		q.sendCanary(ctx)
 		return
 	}
@@ -224,7 +225,7 @@
 }
 
 // fail gives a shard up.
-func (q *query) fail(s *shardState, reason string) {
+func (q *query) fail(s *shardState, reason coverage.Reason) {
 	if s.done {
 		return
 	}
@@ -237,7 +238,7 @@
 }
 
 // failOpen gives up every shard that is not running.
-func (q *query) failOpen(reason string) {
+func (q *query) failOpen(reason coverage.Reason) {
 	for _, s := range q.shards {
 		if s.running == 0 {
 			q.fail(s, reason)
@@ -279,12 +280,12 @@
 
 func (q *query) moveAttempt(ctx context.Context, groups map[string]*dispatch, a *attempt, from *dispatch, now time.Time) {
 	if !q.mayReceive(a.server) {
-		_ = q.retry(ctx, a.shard, "backend server is leaving")
+		_ = q.retry(ctx, a.shard, coverage.ReasonDraining)
 		return
 	}
 	to, rank, ok := q.ownerAfter(a.server.ID, from, now)
 	if !ok {
-		_ = q.retry(ctx, a.shard, "no owner instance answered")
+		_ = q.retry(ctx, a.shard, coverage.ReasonOwnerLost)
 		return
 	}
 	next, ok := groups[to.ID]
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -31,7 +31,7 @@
 	Rule          string     `json:"rule,omitempty"`
 	BundleVersion int64      `json:"bundle_version,omitempty"`
 	Signer        string     `json:"signer,omitempty"`
-	Shortage      string     `json:"shortage,omitempty"`
+	Shortage      Shortage   `json:"shortage,omitempty"`
 	Detail        string     `json:"detail,omitempty"`
 }
 
@@ -47,7 +47,14 @@
 
 // Error describes the refusal.
 func (r *Refusal) Error() string {
-	return fmt.Sprintf("refused (%s): %s %s%s %s", r.Run, r.Reason.Kind, r.Reason.Rule, r.Reason.Shortage, r.Reason.Detail)
+	text := fmt.Sprintf("refused (%s): %s", r.Run, r.Reason.Kind)
+	if name := r.Reason.Rule + string(r.Reason.Shortage); name != "" {
+		text += " " + name
+	}
+	if r.Reason.Detail != "" {
+		text += ": " + r.Reason.Detail
+	}
+	return text
 }
 
 // invalid returns a refusal for a faulty request.
@@ -64,7 +71,7 @@
 }
 
 // shortage returns a refusal for a missing resource.
-func shortage(run RunStatement, name, detail string) *Refusal {
+func shortage(run RunStatement, name Shortage, detail string) *Refusal {
 	return &Refusal{
 		Refused:      true,
 		Run:          run,
--- a/pkg/entry/refusallog.go
+++ b/pkg/entry/refusallog.go
@@ -26,7 +26,7 @@
 		slog.String("run", string(refusal.Run)),
 		slog.String("kind", string(reason.Kind)),
 		slog.String("rule", reason.Rule),
-		slog.String("shortage", reason.Shortage),
+		slog.String("shortage", string(reason.Shortage)),
 		slog.Int64("bundle_version", version),
 		slog.String("signer", reason.Signer),
 		slog.String("detail", reason.Detail),
--- a/pkg/entry/refusallog_test.go
+++ b/pkg/entry/refusallog_test.go
@@ -28,7 +28,7 @@
 	}
 	fields, refusal := record()
 	assert.Equal(t, fields["kind"], "shortage")
-	assert.Equal(t, fields["shortage"], refusal.Reason.Shortage)
+	assert.Equal(t, fields["shortage"], string(refusal.Reason.Shortage))
 	fields, refusal = record()
 	assert.Equal(t, fields["kind"], "rule")
 	assert.Equal(t, fields["rule"], "clerk-rate")
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -60,7 +60,7 @@
 func (e *Entry) policy(ctx context.Context, team, service, token string, kind bundle.ServiceKind) (bundle.Policy, error) {
 	verified, ok := e.config.Control.Bundle()
 	if !ok {
-		return bundle.Policy{}, shortage(NotRun, "bundle", "this instance holds no bundle yet")
+		return bundle.Policy{}, shortage(NotRun, ShortageBundle, "this instance holds no bundle yet")
 	}
 	policy, err := verified.Policy(team, service, token)
 	if err != nil {
@@ -134,7 +134,7 @@
 func (e *Entry) pin(policy bundle.Policy, excluded map[int64]bool) (snapshot.Snapshot, error) {
 	manifest, ok := e.config.Control.Manifest(policy.Team, policy.Service)
 	if !ok {
-		return snapshot.Snapshot{}, shortage(NotRun, "index manifest", "no manifest of this service is known yet")
+		return snapshot.Snapshot{}, shortage(NotRun, ShortageIndexManifest, "no manifest of this service is known yet")
 	}
 	now := e.config.Now()
 	replicas := func(shard int) []string {
@@ -147,7 +147,7 @@
 	}
 	pinned, ok := snapshot.Choose(manifest, replicas, e.config.Served, excluded, now)
 	if !ok {
-		return snapshot.Snapshot{}, shortage(NotRun, "snapshot", "no snapshot of the index is served")
+		return snapshot.Snapshot{}, shortage(NotRun, ShortageSnapshot, "no snapshot of the index is served")
 	}
 	return pinned, nil
 }
@@ -177,7 +177,7 @@
 	if rule := findRule(policy, bundle.RuleCrashSuspect); rule != nil {
 		return byRule(policy, rule, run, cause.Error())
 	}
-	return shortage(run, "backend servers crash on this request", cause.Error())
+	return shortage(run, ShortageCrashingRequest, cause.Error())
 }
 
 // serviceKey names a service in per-service statistics.
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sycamorelift/sycamorelift/pkg/coverage"
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
@@ -38,7 +39,7 @@
 		}
 	}
 	if len(candidates) == 0 {
-		q.failOpen("no canary could be asked")
+		q.failOpen(coverage.ReasonNoCanary)
 		return
 	}
 	s := q.byShard[q.entry.config.Guard.CanaryShard(q.fingerprint, candidates)]
@@ -90,12 +91,12 @@
 	for _, s := range shards {
 		server, ok := q.next(s)
 		if !ok {
-			q.fail(s, "no replica left to ask")
+			q.fail(s, coverage.ReasonNoReplica)
 			continue
 		}
 		to, ok := q.ownerOf(server.ID, 0, now)
 		if !ok {
-			q.fail(s, "no owner instance is known")
+			q.fail(s, coverage.ReasonNoOwner)
 			continue
 		}
 		d, ok := groups[to.ID]
--- a/pkg/entry/shardstate.go
+++ b/pkg/entry/shardstate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/sycamorelift/sycamorelift/pkg/coverage"
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"github.com/sycamorelift/sycamorelift/pkg/snapshot"
@@ -16,5 +17,5 @@
 	hedged    bool
 	canary    bool // was asked first for this query
 	hits      []*peerpb.Hit
-	lastError string
+	lastError coverage.Reason
 }
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -116,7 +116,7 @@
 		refusal.Run = run
 		return refusal
 	}
-	refusal := shortage(run, string(refused.Reason), refused.Error())
+	refusal := shortage(run, Shortage(refused.Reason), refused.Error())
 	if refused.Status == peerpb.ResultStatus_DEADLINE {
 		refusal.Status = http.StatusGatewayTimeout
 	}
