--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -179,14 +179,10 @@
 	if q.mayRestart && left > time.Duration(restartMinTimeLeft*float64(q.policy.Deadline)) {
 		return errSnapshotGone
 	}
-<<<<<<< HEAD
-	q.fail(s, "snapshot no longer served")
+	q.fail(s, coverage.ReasonSnapshotGone)
 	if q.held {
 		q.nextCanary(ctx)
 	}
-=======
-	q.fail(s, coverage.ReasonSnapshotGone)
->>>>>>> docs
 	return nil
 }
 
