Cancel the losers of hedges at once and keep hedges of lost owners

- A loser's stream was examined only when that stream itself delivered a frame, so a hedge that won elsewhere left the loser in its slot until the query ended: "stream of attempt 3 is open".
A shard that ends now cancels the streams that nothing else is waited for.
- A hedge whose owner was lost was dropped because the first, slow attempt was still running, and the shard was never hedged again: "stream of attempt 1 is open" 240 ms later.
It now moves to the next rank like other attempts.

--- a/pkg/entry/fakeowner_test.go
+++ b/pkg/entry/fakeowner_test.go
@@ -65,8 +65,9 @@
 	if ctx.Err() != nil {
 		return ctx.Err() // not sent
 	}
-	asked, isPaused := f.record(to, request)
-	whole := f.choose("message", to.ID, asked[0].BackendServerId, asked[0].Attempt)
+	asked, isPaused, stream := f.record(to, request)
+	defer func() { f.update(func() { delete(f.open, stream) }) }()
+	whole := f.choose("message", to.ID, request.RequestId, asked[0].Attempt)
 	switch {
 	case whole == unreachable:
 		return errors.New("connection refused")
@@ -80,19 +81,18 @@
 	// At most one frame per millisecond holds all results of that time.
 	byTime := map[time.Duration][]*askedAttempt{}
 	for _, a := range asked {
-		delay := time.Duration(3+f.hash("delay", a.BackendServerId, a.Attempt)%9) * time.Millisecond
+		delay := time.Duration(3+f.hash("delay", a.request, a.Attempt)%9) * time.Millisecond
 		if f.faultOf(a) == slow {
-			delay += time.Duration(f.hash("slow", a.BackendServerId)%250) * time.Millisecond
+			delay += time.Duration(f.hash("slow", a.request, a.Attempt)%250) * time.Millisecond
 		}
 		byTime[delay] = append(byTime[delay], a)
 	}
-	for ms := time.Duration(0); ms < 300; ms++ {
+	isSilent := slices.ContainsFunc(asked, func(a *askedAttempt) bool { return f.faultOf(a) == silent })
+	for ms := time.Duration(0); ms < 300 && (isSilent || len(byTime) > 0); ms++ {
 		if err := f.reply(ctx, request, byTime[ms*time.Millisecond], whole, emit); err != nil {
-			for _, a := range asked {
-				f.update(func() { a.ended = ctx.Err() != nil })
-			}
 			return err
 		}
+		delete(byTime, ms*time.Millisecond)
 		select {
 		case <-time.After(time.Millisecond):
 		case <-ctx.Done():
@@ -108,14 +108,17 @@
 }
 
 func (w *world) faultOf(a *askedAttempt) fault {
-	return w.choose(a.BackendServerId, a.Attempt, a.owner)
+	if w.script != nil {
+		return w.script(a)
+	}
+	return w.choose(a.request, a.Attempt, a.BackendServerId)
 }
 
-func (f *fakeOwners) record(to membership.Instance, request *peerpb.SearchRequest) (asked []*askedAttempt, isPaused bool) {
+func (f *fakeOwners) record(to membership.Instance, request *peerpb.SearchRequest) (asked []*askedAttempt, isPaused bool, stream int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, a := range request.Attempts {
-		got := &askedAttempt{ShardAttempt: a, owner: to.ID, snapshot: request.Snapshot, at: time.Now()}
+		got := &askedAttempt{ShardAttempt: a, request: request.RequestId, owner: to.ID, snapshot: request.Snapshot, at: time.Now()}
 		asked = append(asked, got)
 		replicas := f.views[f.entry].Replicas("team", "service", int(a.Shard), time.Now())
 		listed := slices.ContainsFunc(replicas, func(b membership.BackendServer) bool { return b.ID == a.BackendServerId })
@@ -126,7 +129,9 @@
 	slices.SortFunc(asked, func(a, b *askedAttempt) int { return int(a.Attempt - b.Attempt) })
 	f.asked[request.RequestId] = append(f.asked[request.RequestId], asked...)
 	f.calls[to.ID]++
-	return asked, f.pauses[to.ID]
+	f.streams++
+	f.open[f.streams] = asked
+	return asked, f.pauses[to.ID], f.streams
 }
 
 // reply sends the results that are due at one time.
@@ -149,21 +154,17 @@
 			continue
 		case wrongRequest:
 			frame.RequestId = "other"
-		case duplicate:
-			if err := emit(frame); err != nil {
-				return err
-			}
-			frame.Results = append(frame.Results, result)
 		}
-		if err := emit(frame); err != nil {
+		if err := f.state(emit, frame, a); err != nil {
 			return err
 		}
-		f.update(func() {
-			a.run = result.Run
-			if result.Draining && f.drained[a.BackendServerId].IsZero() {
-				f.drained[a.BackendServerId] = time.Now()
+		if f.faultOf(a) == duplicate {
+			time.Sleep(time.Millisecond)
+			frame = &peerpb.SearchFrame{RequestId: request.RequestId, Results: []*peerpb.ShardResult{result, result}, Hits: hits}
+			if err := emit(frame); err != nil {
+				return err
 			}
-		})
+		}
 	}
 	if whole == truncated && len(due) > 0 {
 		return io.ErrUnexpectedEOF
@@ -173,12 +174,29 @@
 	}
 	slices.SortFunc(good.Hits, owner.CompareHits)
 	good.Hits = good.Hits[:min(len(good.Hits), int(request.Limit))]
-	f.update(func() {
-		for i, a := range sent {
-			a.run = good.Results[i].Run
+	return f.state(emit, good, sent...)
+}
+
+// state sends a frame and records what it tells the entry about the attempts.
+func (w *world) state(emit owner.Emit, frame *peerpb.SearchFrame, attempts ...*askedAttempt) error {
+	w.update(func() {
+		for i, a := range attempts {
+			a.run = frame.Results[i].Run
+			if frame.Results[i].Draining && w.drained[a.BackendServerId].IsZero() {
+				w.drained[a.BackendServerId] = time.Now()
+			}
+		}
+	})
+	err := emit(frame)
+	if err == nil {
+		return nil
+	}
+	w.update(func() {
+		for _, a := range attempts {
+			a.run = peerpb.RunState_RUN_STATE_UNKNOWN
 		}
 	})
-	return emit(good)
+	return err
 }
 
 // result is what the owner states about an attempt.
@@ -190,7 +208,7 @@
 		return f.crash(request, r), nil
 	}
 	named := f.faultOf(a)
-	if named == duplicate && f.hash("refused", a.Attempt)%2 == 0 {
+	if named == duplicate && f.hash("refused", a.request, a.Attempt)%2 == 0 {
 		named = "SHED"
 	}
 	status, isStatus := peerpb.ResultStatus_value[string(named)]
@@ -199,7 +217,7 @@
 	}
 	if isStatus {
 		r.Status = peerpb.ResultStatus(status)
-		if slices.Contains(notRun, fault(r.Status.String())) && f.hash("run", a.Attempt)%4 > 0 {
+		if slices.Contains(notRun, fault(r.Status.String())) && f.hash("run", a.request, a.Attempt)%4 > 0 {
 			r.Run = peerpb.RunState_RUN_STATE_NOT_RUN
 		}
 		r.Draining = r.Status == peerpb.ResultStatus_DRAINING
--- a/pkg/entry/oracle_test.go
+++ b/pkg/entry/oracle_test.go
@@ -105,3 +105,21 @@
 	}
 	return nil
 }
+
+// judgeEnds requires that nothing is sent after a query has ended and that all
+// of its streams are cancelled.
+func (w *world) judgeEnds() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, end := range w.ends {
+		for _, a := range w.asked[id] {
+			if a.at.After(end) {
+				return fmt.Errorf("query %s: attempt %d is sent after the end", id, a.Attempt)
+			}
+		}
+	}
+	if len(w.open) > 0 {
+		return fmt.Errorf("%d streams are open after the queries have ended", len(w.open))
+	}
+	return nil
+}
--- a/pkg/entry/query_test.go
+++ b/pkg/entry/query_test.go
@@ -51,6 +51,7 @@
 			time.Sleep(time.Duration(w.hash("start", n)%200) * time.Millisecond)
 			id := fmt.Sprint("r", n)
 			answer, err := w.search(e, id, fmt.Sprint("query ", n))
+			w.update(func() { w.ends[id] = time.Now() })
 			if wrong := w.judge(id, s.minCoverage, answer, err); wrong != nil {
 				results <- fmt.Errorf("query %s: %w", id, wrong)
 				return
@@ -63,7 +64,10 @@
 			wrong = err
 		}
 	}
-	time.Sleep(time.Second) // owners see the cancellation
+	time.Sleep(time.Second)
+	if wrong == nil {
+		wrong = w.judgeEnds()
+	}
 	return wrong
 }
 
@@ -115,7 +119,7 @@
 // Guards against books that count a repeated refusal twice: the query would
 // then say "not run" while another attempt is running.
 func TestRepeatedRefusalCountsOnce(t *testing.T) {
-	for seed := range uint64(30) {
+	for seed := range uint64(120) {
 		var wrong error
 		synctest.Test(t, func(*testing.T) {
 			wrong = scenario{seed: seed, faults: []fault{duplicate}, minCoverage: 1, canary: 50 * time.Millisecond, queries: 2}.run()
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -135,8 +135,7 @@
 			s.hits = append(s.hits, h)
 		}
 	}
-	s.done = true
-	q.open--
+	q.settle(s)
 	if q.held {
 		q.entry.config.Guard.MarkGood(q.fingerprint, q.now())
 		q.release(ctx)
@@ -173,6 +172,9 @@
 		return errSnapshotGone
 	}
 	q.fail(s, "snapshot no longer served")
+	if q.held {
+		q.nextCanary(ctx)
+	}
 	return nil
 }
 
@@ -205,11 +207,28 @@
 		return
 	}
 	q.fail(s, s.lastError)
+	q.nextCanary(ctx)
+}
+
+// nextCanary asks another shard first, unless the query ends anyway.
+func (q *query) nextCanary(ctx context.Context) {
 	if !q.hopeless() {
 		q.sendCanary(ctx)
 	}
 }
 
+// settle ends a shard and cancels the streams that only its losing attempts
+// were waited for.
+func (q *query) settle(s *shardState) {
+	s.done = true
+	q.open--
+	for _, a := range s.attempts {
+		if !a.finished && a.dispatch.moot() {
+			a.dispatch.cancel()
+		}
+	}
+}
+
 // fail gives a shard up.
 func (q *query) fail(s *shardState, reason string) {
 	if s.done {
@@ -218,8 +237,7 @@
 	if s.lastError != "" {
 		reason = s.lastError
 	}
-	s.done = true
-	q.open--
+	q.settle(s)
 	q.account.Fail(s.partition.Shard, reason)
 }
 
@@ -236,7 +254,9 @@
 	q.failOver(ctx, d, now)
 }
 
-// failOver moves the pending attempts of a dispatch to the next rank.
+// failOver moves the pending attempts of a dispatch to the next rank. Where
+// another attempt of the shard is running, only a hedge is moved: the other one
+// was already too slow.
 func (q *query) failOver(ctx context.Context, d *dispatch, now time.Time) {
 	d.cancel()
 	groups := make(map[string]*dispatch)
@@ -245,7 +265,7 @@
 			continue
 		}
 		q.forget(a)
-		if a.shard.done || a.shard.running > 0 {
+		if a.shard.done || (a.shard.running > 0 && !a.hedge) {
 			continue
 		}
 		q.moveAttempt(ctx, groups, a, d, now)
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -144,6 +144,7 @@
 	a := &attempt{number: q.attempts, shard: s, server: server, dispatch: d, started: now, hedge: hedge}
 	d.attempts[a.number] = a
 	d.pending++
+	s.attempts = append(s.attempts, a)
 	s.tried[server.ID] = true
 	s.running++
 	q.record.inFlight++
--- a/pkg/entry/shardstate.go
+++ b/pkg/entry/shardstate.go
@@ -11,6 +11,7 @@
 	partition snapshot.Partition
 	replicas  []membership.BackendServer // in order of preference
 	tried     map[string]bool            // backend server ids
+	attempts  []*attempt                 // all of them
 	running   int                        // attempts without a result
 	done      bool                       // answered or failed
 	hedged    bool
--- a/pkg/entry/world_test.go
+++ b/pkg/entry/world_test.go
@@ -32,8 +32,9 @@
 // owners were asked. It runs in a synctest bubble, so time is virtual.
 type world struct {
 	seed    uint64
-	faults  []fault // drawn from for each attempt
-	poison  string  // query that crashes backend servers
+	faults  []fault                   // drawn from for each attempt
+	script  func(*askedAttempt) fault // replaces the draw when set
+	poison  string                    // query that crashes backend servers
 	canary  time.Duration
 	verdict *bundle.Verified
 
@@ -41,6 +42,9 @@
 	index    map[int64]snapshot.Snapshot
 	serves   map[string][]int64 // snapshots by backend server
 	manifest *snapshot.Manifest
+	ends     map[string]time.Time    // of queries
+	open     map[int][]*askedAttempt // running streams, by number
+	streams  int
 	counts   map[string]int64 // metrics
 	asked    map[string][]*askedAttempt
 	calls    map[string]int               // search messages, by owner
@@ -55,11 +59,11 @@
 // askedAttempt is one attempt as an owner received it.
 type askedAttempt struct {
 	*peerpb.ShardAttempt
+	request  string
 	owner    string
 	snapshot int64
 	at       time.Time
 	run      peerpb.RunState // as delivered to the entry
-	ended    bool            // the owner saw the cancellation
 }
 
 func newWorld(seed uint64, faults ...fault) *world {
@@ -67,7 +71,8 @@
 		seed: seed, faults: faults, index: map[int64]snapshot.Snapshot{}, serves: map[string][]int64{},
 		counts: map[string]int64{}, asked: map[string][]*askedAttempt{}, calls: map[string]int{}, crashed: map[string]bool{},
 		guards: map[string]*crashguard.Guard{}, pauses: map[string]bool{}, views: map[string]*membership.View{},
-		drained: map[string]time.Time{},
+		drained: map[string]time.Time{}, ends: map[string]time.Time{},
+		open: map[int][]*askedAttempt{},
 	}
 	for version := int64(1); version <= 3; version++ {
 		w.index[version] = partitioned(version)
