--- a/pkg/entry/fakeowner_test.go
+++ b/pkg/entry/fakeowner_test.go
@@ -154,22 +154,17 @@
 			continue
 		case wrongRequest:
 			frame.RequestId = "other"
-		case duplicate:
-			if err := emit(frame); err != nil {
-				return err
-			}
-			time.Sleep(time.Millisecond)
-			frame.Results = append(frame.Results, result)
 		}
-		if err := emit(frame); err != nil {
+		if err := f.state(emit, frame, a); err != nil {
 			return err
 		}
-		f.update(func() {
-			a.run = result.Run
-			if result.Draining && f.drained[a.BackendServerId].IsZero() {
-				f.drained[a.BackendServerId] = time.Now()
+		if f.faultOf(a) == duplicate {
+			time.Sleep(time.Millisecond)
+			frame = &peerpb.SearchFrame{RequestId: request.RequestId, Results: []*peerpb.ShardResult{result, result}, Hits: hits}
+			if err := emit(frame); err != nil {
+				return err
 			}
-		})
+		}
 	}
 	if whole == truncated && len(due) > 0 {
 		return io.ErrUnexpectedEOF
@@ -179,12 +174,29 @@
 	}
 	slices.SortFunc(good.Hits, owner.CompareHits)
 	good.Hits = good.Hits[:min(len(good.Hits), int(request.Limit))]
-	f.update(func() {
-		for i, a := range sent {
-			a.run = good.Results[i].Run
+	return f.state(emit, good, sent...)
+}
+
+// state sends a frame and records what it tells the entry about the attempts.
+func (w *world) state(emit owner.Emit, frame *peerpb.SearchFrame, attempts ...*askedAttempt) error {
+	w.update(func() {
+		for i, a := range attempts {
+			a.run = frame.Results[i].Run
+			if frame.Results[i].Draining && w.drained[a.BackendServerId].IsZero() {
+				w.drained[a.BackendServerId] = time.Now()
+			}
+		}
+	})
+	err := emit(frame)
+	if err == nil {
+		return nil
+	}
+	w.update(func() {
+		for _, a := range attempts {
+			a.run = peerpb.RunState_RUN_STATE_UNKNOWN
 		}
 	})
-	return emit(good)
+	return err
 }
 
 // result is what the owner states about an attempt.
