Say in the log what is at fault with documents and crashes

A rejected document was logged for every copy that arrived; a start with a rejected bundle reported that there was none; a read without an announced revision logged revision 0. The store now reports each rejected content once and keeps the latest rejection of a key until a document of it is accepted, which a start returns as its error.

A crash report was logged as a fact, with the fingerprint in decimal. It is a suspicion, and the fingerprint has the hexadecimal form of the refusals. Losses without a suspect have their own message.

--- a/pkg/controlplane/bootstrap.go
+++ b/pkg/controlplane/bootstrap.go
@@ -51,9 +51,13 @@
 		return &UnavailableError{What: "nobody answered"}
 	}
 	for _, key := range []string{KeyBundle, KeyMembers} {
-		if _, ok := p.store.Get(key); !ok {
-			return &UnavailableError{What: "no document " + key}
+		if _, ok := p.store.Get(key); ok {
+			continue
 		}
+		if rejected := p.store.rejection(key); rejected != nil {
+			return rejected
+		}
+		return &UnavailableError{What: "no document " + key}
 	}
 	return nil
 }
--- a/pkg/controlplane/read.go
+++ b/pkg/controlplane/read.go
@@ -83,7 +83,7 @@
 		return nil
 	}
 	if err != nil {
-		p.log.Warn("control document not read", "key", key, "revision", revision, "error", err)
+		p.logUnread(key, revision, err)
 		return err
 	}
 	_, err = p.store.Accept(Document{Key: key, Revision: document.Revision, Data: document.Data})
@@ -99,3 +99,12 @@
 	}
 	return nil
 }
+
+// logUnread omits the revision when none was announced.
+func (p *Plane) logUnread(key string, revision int64, err error) {
+	attributes := []any{"key", key, "error", err}
+	if revision > 0 {
+		attributes = append(attributes, "revision", revision)
+	}
+	p.log.Warn("control document not read", attributes...)
+}
--- a/pkg/controlplane/store.go
+++ b/pkg/controlplane/store.go
@@ -17,24 +17,6 @@
 // digest and the parsed bundle.
 type Verifier func(data []byte) (version int64, digest string, parsed any, err error)
 
-const (
-	// rejectionHold is the time for which a version is not fetched again after
-	// its first rejection. It is short, so that a good copy still takes effect
-	// in time after one that was damaged on the way.
-	rejectionHold = 500 * time.Millisecond
-	// maxRejectionHold bounds the hold, which doubles with each rejection of the
-	// same version: fetching a document that stays bad costs bandwidth.
-	maxRejectionHold = 64 * time.Second
-	// maxRejections bounds the remembered versions.
-	maxRejections = 256
-)
-
-// rejection is the time until which a rejected version is not wanted.
-type rejection struct {
-	until time.Time
-	hold  time.Duration
-}
-
 // Store holds the highest accepted document of each key. A document is never
 // replaced by a lower one. It is safe for concurrent use; reads take no lock.
 type Store struct {
@@ -45,7 +27,7 @@
 	held atomic.Pointer[map[string]*held] // replaced as a whole, with mu held
 
 	mu        sync.Mutex
-	rejected  map[Version]rejection         // guarded by mu
+	rejected  *rejections                   // guarded by mu
 	listeners []func(Document, any)         // guarded by mu
 	changed   atomic.Pointer[chan struct{}] // closed and replaced on acceptance
 }
@@ -58,7 +40,7 @@
 
 // NewStore returns an empty store.
 func NewStore(verify Verifier, now func() time.Time, log *slog.Logger) *Store {
-	s := &Store{verify: verify, now: now, log: orDiscard(log), rejected: make(map[Version]rejection)}
+	s := &Store{verify: verify, now: now, log: orDiscard(log), rejected: newRejections()}
 	s.held.Store(&map[string]*held{})
 	changed := make(chan struct{})
 	s.changed.Store(&changed)
@@ -85,7 +67,7 @@
 	}
 	order, parsed, err := s.decode(document)
 	if err != nil {
-		return false, s.reject(announced, err)
+		return false, s.reject(document, err)
 	}
 	if announced.Digest != "" && order != announced {
 		return false, &MismatchError{Announced: announced, Got: order}
@@ -121,6 +103,7 @@
 	next := maps.Clone(current)
 	next[document.Key] = &held{document: document, parsed: parsed}
 	s.held.Store(&next)
+	delete(s.rejected.latest, document.Key)
 	for _, listener := range s.listeners {
 		listener(document, parsed)
 	}
@@ -136,25 +119,6 @@
 	close(*s.changed.Swap(&next))
 }
 
-// reject remembers the announced version, so that it is not fetched again and
-// again, and logs the place of the error.
-func (s *Store) reject(announced Version, cause error) error {
-	err := &RejectedError{Key: announced.Key, Revision: announced.Revision, Err: cause}
-	s.log.Error("control document rejected", "key", announced.Key,
-		"revision", announced.Revision, "cause", cause)
-	if announced.Digest == "" {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.rejected) >= maxRejections {
-		clear(s.rejected)
-	}
-	hold := min(max(2*s.rejected[announced].hold, rejectionHold), maxRejectionHold)
-	s.rejected[announced] = rejection{until: s.now().Add(hold), hold: hold}
-	return err
-}
-
 // Wants reports whether a document of this version would be taken over: it is
 // higher than the one held and was not rejected lately.
 func (s *Store) Wants(v Version) bool {
@@ -166,8 +130,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, rejected := s.rejected[v]
-	return !rejected || !s.now().Before(r.until)
+	return !s.rejected.isHeld(v, s.now())
 }
 
 // Get returns the held document of key.
--- a/pkg/crashguard/fingerprint.go
+++ b/pkg/crashguard/fingerprint.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,12 @@
 	return max(digest.Sum64(), 1) // 0 is reserved, see Report
 }
 
+// FormatFingerprint returns the hexadecimal form in which logs and refusals name
+// a request.
+func FormatFingerprint(fingerprint uint64) string {
+	return fmt.Sprintf("%016x", fingerprint)
+}
+
 // canaryShard returns the shard with the greatest hash of fingerprint and
 // shard, or -1 when there is none. The choice only changes when that shard is
 // removed or one with a greater hash is added.
--- a/pkg/crashguard/quarantinederror.go
+++ b/pkg/crashguard/quarantinederror.go
@@ -23,5 +23,5 @@
 	if e.Provisional {
 		kind = "suspected"
 	}
-	return fmt.Sprintf("request %016x is %s after crashing %d backend servers", e.Fingerprint, kind, e.Crashes)
+	return fmt.Sprintf("request %s is %s after crashing %d backend servers", FormatFingerprint(e.Fingerprint), kind, e.Crashes)
 }
--- a/pkg/instance/notices.go
+++ b/pkg/instance/notices.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
@@ -12,7 +13,7 @@
 func (i *Instance) connectNotices() {
 	i.plane.OnNotice(i.applyNotice)
 	i.guard.OnReport(func(report crashguard.Report) {
-		i.logger.Warn("request crashed a backend server", "fingerprint", report.Fingerprint, "backend_server", report.ServerID)
+		logCrash(i.logger, report)
 		i.plane.AddNotice(&peerpb.Notice{
 			Kind:        peerpb.Notice_REQUEST_CRASHED_SERVER,
 			Subject:     report.ServerID,
@@ -22,6 +23,17 @@
 	})
 }
 
+// logCrash records a lost backend server. A request that was in flight there is
+// only suspected: the server may have been lost for another reason.
+func logCrash(logger *slog.Logger, report crashguard.Report) {
+	if report.Fingerprint == 0 {
+		logger.Warn("backend server lost", "backend_server", report.ServerID)
+		return
+	}
+	logger.Warn("request suspected of crashing a backend server",
+		"fingerprint", crashguard.FormatFingerprint(report.Fingerprint), "backend_server", report.ServerID)
+}
+
 func (i *Instance) applyNotice(notice *peerpb.Notice) {
 	now := time.Now()
 	observed := now.Add(-time.Duration(notice.AgeMs) * time.Millisecond)
