Judge requests to leaving backend servers after the drain's grace

Invariant 6 was only counted by the simulated backend servers. The audit now reports each request that arrives after the grace of a drain, at most 3 s, as work-after-drain, and the demo has the field work_after_drain and fails when it is above 0.

Seen failing first without the comparison in Audit.Finish: the fake instance, which ignores the drain signal, passed TestWorkAfterDrainIsCaught with no violation, and TestExecutionsAreCompared counted 0 instead of 1.

--- a/pkg/demo/demo_test.go
+++ b/pkg/demo/demo_test.go
@@ -11,9 +11,14 @@
 )
 
 func runFake(t *testing.T, instance *fakeInstance, fault string) (*Report, error) {
+	t.Helper()
+	return runFakeFor(t, instance, fault, 30)
+}
+
+func runFakeFor(t *testing.T, instance *fakeInstance, fault string, queries int) (*Report, error) {
 	t.Helper()
 	var out bytes.Buffer
-	command := Command{Queries: 30, Fault: fault, Deployment: "office", Output: "json", Seed: 3, Out: &out, Start: instance.start}
+	command := Command{Queries: queries, Fault: fault, Deployment: "office", Output: "json", Seed: 3, Out: &out, Start: instance.start}
 	err := command.Execute(nil)
 	var report Report
 	assert.NilError(t, json.Unmarshal(out.Bytes(), &report), "%v", err)
@@ -58,6 +63,17 @@
 	}
 }
 
+// Guards against instances that go on sending to a leaving backend server
+// unnoticed. The fake always asks the first replica; the queries go on for more
+// than the drain's grace.
+func TestWorkAfterDrainIsCaught(t *testing.T) {
+	t.Parallel()
+	report, err := runFakeFor(t, &fakeInstance{}, "drain", 90)
+	assert.Assert(t, errors.Is(err, ErrViolated), "%v", err)
+	assert.Assert(t, report.WorkAfterDrain > 0)
+	assert.Equal(t, report.WorkAfterDrain, report.Violations(), "%v", report.Problems)
+}
+
 // Guards against wrong flags that are run or reported as failures.
 func TestUsageErrors(t *testing.T) {
 	for _, command := range []Command{
--- a/pkg/demo/report.go
+++ b/pkg/demo/report.go
@@ -26,6 +26,7 @@
 	RefusedButRun         int            `json:"refused_but_run"`
 	StaleBundles          int            `json:"stale_bundles"`
 	LostSubmissions       int            `json:"lost_submissions"`
+	WorkAfterDrain        int            `json:"work_after_drain"` // requests to leaving backend servers after the drain's grace
 	MinCoverage           float64        `json:"min_coverage"`
 	BundleVersion         int64          `json:"bundle_version"`
 	Instances             int            `json:"instances"`
@@ -57,6 +58,7 @@
 		RefusedButRun:       audit.Count(oracle.RefusedButRun),
 		StaleBundles:        audit.Count(oracle.StaleBundle),
 		LostSubmissions:     audit.Count(oracle.LostSubmission),
+		WorkAfterDrain:      audit.Count(oracle.WorkAfterDrain),
 		MinCoverage:         t.coverage,
 		BundleVersion:       t.bundle,
 		Instances:           r.fleet.Size(),
@@ -80,7 +82,7 @@
 // Violations returns the number of broken invariants.
 func (r *Report) Violations() int {
 	return r.WrongAnswers + r.MixedSnapshots + r.FalseCoverage +
-		r.DuplicateExecutions + r.RefusedButRun + r.LostSubmissions + r.StaleBundles
+		r.DuplicateExecutions + r.RefusedButRun + r.LostSubmissions + r.StaleBundles + r.WorkAfterDrain
 }
 
 // WriteText writes the report for people.
@@ -117,8 +119,8 @@
 		fmt.Fprint(text, "\nEvery answer was checked: no invariant was violated.\n")
 		return
 	}
-	fmt.Fprintf(text, "\n%d invariant violations: %d wrong answers, %d mixed snapshots, %d false coverage, %d duplicate executions, %d refused but run, %d lost submissions, %d stale bundles\n",
-		r.Violations(), r.WrongAnswers, r.MixedSnapshots, r.FalseCoverage, r.DuplicateExecutions, r.RefusedButRun, r.LostSubmissions, r.StaleBundles)
+	fmt.Fprintf(text, "\n%d invariant violations: %d wrong answers, %d mixed snapshots, %d false coverage, %d duplicate executions, %d refused but run, %d lost submissions, %d stale bundles, %d requests after drain\n",
+		r.Violations(), r.WrongAnswers, r.MixedSnapshots, r.FalseCoverage, r.DuplicateExecutions, r.RefusedButRun, r.LostSubmissions, r.StaleBundles, r.WorkAfterDrain)
 	for _, problem := range r.Problems {
 		fmt.Fprintf(text, "  %s\n", problem)
 	}
--- a/pkg/oracle/audit.go
+++ b/pkg/oracle/audit.go
@@ -122,6 +122,15 @@
 	for range a.executions.Duplicates() {
 		a.add(Problem{DuplicateExecution, "", "a submission was executed more than once"})
 	}
+	a.finishDrains()
+}
+
+func (a *Audit) finishDrains() {
+	for server, count := range a.executions.AfterDrain() {
+		for range count {
+			a.add(Problem{WorkAfterDrain, "", "backend server " + server + " received a request after the grace of its drain"})
+		}
+	}
 }
 
 func (a *Audit) finishSearches() {
--- a/pkg/oracle/audit_test.go
+++ b/pkg/oracle/audit_test.go
@@ -102,6 +102,7 @@
 	runs.RecordSubmission("t4", "fee-ledger", "denied")
 	runs.RecordSubmission("t5", "fee-ledger", "unsure")
 	runs.RecordSearch("s1")
+	runs.RecordAfterDrain("renewal-search-s00-r0")
 
 	audit.Submission("fee-ledger", "k", "once", "r1", Unknown, "")
 	audit.Submission("fee-ledger", "k", "once", "r2", Run, standin.SubmissionResult("k", "once"))
@@ -118,7 +119,8 @@
 	assert.Equal(t, audit.Count(RefusedButRun), 2)
 	assert.Equal(t, audit.Count(LostSubmission), 1)
 	assert.Equal(t, audit.Count(WrongAnswer), 1)
-	assert.Equal(t, audit.Total(), 5)
+	assert.Equal(t, audit.Count(WorkAfterDrain), 1)
+	assert.Equal(t, audit.Total(), 6)
 }
 
 // Guards against answers under a replaced bundle that go unnoticed, and against
--- a/pkg/oracle/executions.go
+++ b/pkg/oracle/executions.go
@@ -8,4 +8,7 @@
 	Payloads(service, payload string) int
 	// Duplicates returns the surplus executions of submissions.
 	Duplicates() int
+	// AfterDrain returns, by backend server, the requests that arrived after
+	// the grace of its drain.
+	AfterDrain() map[string]int
 }
--- a/pkg/oracle/problem.go
+++ b/pkg/oracle/problem.go
@@ -14,6 +14,7 @@
 	RefusedButRun      ProblemKind = "refused-but-run"     // a refusal says not-run, but it ran
 	StaleBundle        ProblemKind = "stale-bundle"        // decided under a bundle that was replaced long before
 	LostSubmission     ProblemKind = "lost-submission"     // reported as run, but it never ran
+	WorkAfterDrain     ProblemKind = "work-after-drain"    // a leaving backend server received a new request
 )
 
 // Problem is one broken invariant.
--- a/pkg/standin/backendfaults.go
+++ b/pkg/standin/backendfaults.go
@@ -10,6 +10,10 @@
 // DefaultRestartDelay is the time that a crashed backend server stays down.
 const DefaultRestartDelay = 2 * time.Second
 
+// MaxDrainGrace is the longest time for which a leaving backend server may
+// receive new requests; a longer grace does not excuse later ones.
+const MaxDrainGrace = 3 * time.Second
+
 // A cold server refuses for its cold time and is slow for as long again.
 const coldSlowdown = 3
 
@@ -122,6 +126,13 @@
 	return !f.drainedAt.IsZero() && now.Sub(f.drainedAt) >= f.drainGrace
 }
 
+// mustBeIdle reports whether no request may arrive any more.
+func (f *backendFaults) mustBeIdle(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.drainedAt.IsZero() && now.Sub(f.drainedAt) >= min(f.drainGrace, MaxDrainGrace)
+}
+
 func (f *backendFaults) crashes(query string) (restartAfter time.Duration, crash bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/standin/backendhandler.go
+++ b/pkg/standin/backendhandler.go
@@ -84,11 +84,20 @@
 	}
 }
 
+// recordAfterDrain counts a request that should not have been sent any more,
+// also one that is refused for another reason.
+func (c *call) recordAfterDrain() {
+	if !c.server.faults.mustBeIdle(time.Now()) {
+		return
+	}
+	c.server.counters.afterDrain.Add(1)
+	c.server.config.Runs.RecordAfterDrain(c.server.ID())
+}
+
 // admit decides whether the request runs and takes a slot for it.
 func (c *call) admit() refusal {
 	faults := &c.server.faults
 	if faults.drained(time.Now()) {
-		c.server.counters.afterDrain.Add(1)
 		return refusalDraining
 	}
 	if faults.cold(time.Since(c.life.startedAt)) {
--- a/pkg/standin/backendsearch.go
+++ b/pkg/standin/backendsearch.go
@@ -9,6 +9,7 @@
 )
 
 func (c *call) search() {
+	c.recordAfterDrain()
 	var body searchBody
 	if !c.decode(&body) {
 		return
--- a/pkg/standin/backendsubmit.go
+++ b/pkg/standin/backendsubmit.go
@@ -12,6 +12,7 @@
 // from then on neither cancellation nor the deadline stops it. The server
 // doesn't recognize repeated operations, as the platform doesn't promise that.
 func (c *call) submit() {
+	c.recordAfterDrain()
 	var body submitBody
 	if !c.decode(&body) {
 		return
--- a/pkg/standin/runlog.go
+++ b/pkg/standin/runlog.go
@@ -10,6 +10,7 @@
 	searches   [runLogStripes]counter // by request id
 	operations counter                // by operation id
 	payloads   counter                // by service and payload
+	afterDrain counter                // by backend server
 }
 
 // counter counts occurrences per label.
@@ -54,6 +55,13 @@
 	l.payloads.add(service + "\x00" + payload)
 }
 
+// RecordAfterDrain counts a request that arrived at a backend server after the
+// grace of its drain.
+func (l *RunLog) RecordAfterDrain(server string) { l.afterDrain.add(server) }
+
+// AfterDrain returns the requests after the grace of a drain by backend server.
+func (l *RunLog) AfterDrain() map[string]int { return l.afterDrain.all() }
+
 // Searches returns the number of shard executions of a search request.
 func (l *RunLog) Searches(requestID string) int {
 	return l.stripe(requestID).get(requestID)
