Run the demo and experiments under the example bundles

Cause: the demo had a bundle of its own, so its refusals never named a rule of the examples that users read, and class names differed. The example bundles are now embedded; the demo changes only version and slots and leaves out services that a limited deployment lacks.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -63,7 +63,7 @@
 		for _, caller := range team.Callers {
 			i := slices.IndexFunc(team.Classes, func(c bundle.Class) bool { return c.Name == caller.Class })
 			for _, service := range team.Classes[i].Services {
-				p, err := v.Policy(team.Name, service, "example-token-of-"+caller.Name)
+				p, err := v.Policy(team.Name, service, Token(caller.Name))
 				assert.NilError(t, err)
 				assert.Equal(t, p.Caller, caller.Name)
 				used[service] = true
--- a/pkg/fleet/bundletext.go
+++ b/pkg/fleet/bundletext.go
@@ -1,32 +1,21 @@
 package fleet
 
 import (
+	"slices"
+
+	"github.com/rotisserie/eris"
 	"go.yaml.in/yaml/v3"
 
-	"github.com/sycamorelift/sycamorelift/pkg/bundle"
+	"github.com/sycamorelift/sycamorelift/examples"
 	"github.com/sycamorelift/sycamorelift/pkg/standin"
 )
 
-// Settings of the demonstration bundle.
-const (
-	serviceDeadline  = "5s"
-	hedgeQuantile    = 0.95
-	hedgeBudget      = 0.05
-	canaryMaxWait    = "50ms"
-	crashLimit       = 2
-	platformDeadline = "10s"
-)
-
+// bundleFile is the part of a bundle that BundleText changes; the rest is kept
+// as it is.
 type bundleFile struct {
-	Version  int64        `yaml:"version"`
-	Platform platformFile `yaml:"platform"`
-	Teams    []teamFile   `yaml:"teams"`
-}
-
-type platformFile struct {
-	MaxDeadline    string  `yaml:"max_deadline"`
-	MaxHedgeBudget float64 `yaml:"max_hedge_budget"`
-	MaxCrashLimit  int     `yaml:"max_crash_limit"`
+	Version  int64          `yaml:"version"`
+	Platform map[string]any `yaml:"platform"`
+	Teams    []teamFile     `yaml:"teams"`
 }
 
 type teamFile struct {
@@ -37,84 +26,58 @@
 }
 
 type serviceFile struct {
-	Name        string      `yaml:"name"`
-	Kind        string      `yaml:"kind"`
-	Slots       int         `yaml:"slots"`
-	Connections int         `yaml:"connections"`
-	Deadline    string      `yaml:"deadline"`
-	Hedge       *hedgeFile  `yaml:"hedge,omitempty"`
-	Canary      *canaryFile `yaml:"canary,omitempty"`
-	CrashLimit  int         `yaml:"crash_limit"`
-}
-
-type hedgeFile struct {
-	Quantile float64 `yaml:"quantile"`
-	Budget   float64 `yaml:"budget"`
-}
-
-type canaryFile struct {
-	Enabled bool   `yaml:"enabled"`
-	MaxWait string `yaml:"max_wait"`
+	Name  string         `yaml:"name"`
+	Slots int            `yaml:"slots"`
+	Rest  map[string]any `yaml:",inline"`
 }
 
 type classFile struct {
-	Name        string   `yaml:"name"`
-	Priority    int      `yaml:"priority"`
-	MinCoverage float64  `yaml:"min_coverage"`
-	Deadline    string   `yaml:"deadline"`
-	Services    []string `yaml:"services"`
+	Name     string         `yaml:"name"`
+	Services []string       `yaml:"services"`
+	Rest     map[string]any `yaml:",inline"`
 }
 
 type callerFile struct {
-	Name        string `yaml:"name"`
-	Class       string `yaml:"class"`
-	TokenSHA256 string `yaml:"token_sha256"`
+	Class string         `yaml:"class"`
+	Rest  map[string]any `yaml:",inline"`
 }
 
-// BundleText returns the unsigned bundle of a deployment: its services with
-// their limits and its classes with one caller each. Services that a limited
-// deployment lacks are left out.
+// BundleText returns the unsigned example bundle of a deployment with another
+// version. Services that a limited deployment lacks are left out, and slots
+// follow the deployment.
 func BundleText(spec standin.DeploymentSpec, version int64) ([]byte, error) {
-	file := bundleFile{
-		Version:  version,
-		Platform: platformFile{MaxDeadline: platformDeadline, MaxHedgeBudget: hedgeBudget, MaxCrashLimit: crashLimit},
-		Teams:    []teamFile{{Name: spec.Team}},
+	data, err := examples.Bundle(spec.Name)
+	if err != nil {
+		return nil, err
 	}
-	team := &file.Teams[0]
-	for _, service := range spec.Services {
-		team.Services = append(team.Services, describeService(service))
+	var file bundleFile
+	if err := yaml.Unmarshal(data, &file); err != nil {
+		return nil, eris.Wrap(err, "read example bundle")
 	}
-	for _, class := range Classes(spec.Name) {
-		class.Services = present(spec, class.Services)
-		if len(class.Services) == 0 {
-			continue
-		}
-		team.Classes = append(team.Classes, describeClass(class))
-		team.Callers = append(team.Callers, callerFile{Name: class.Name + "-1", Class: class.Name, TokenSHA256: class.tokenSHA256()})
+	file.Version = version
+	for i := range file.Teams {
+		file.Teams[i].limit(spec)
 	}
 	return yaml.Marshal(file)
 }
 
-func describeService(service standin.ServiceSpec) serviceFile {
-	described := serviceFile{
-		Name: service.Name, Kind: string(bundle.KindSearch),
-		Slots: service.Slots, Connections: service.Connections,
-		Deadline: serviceDeadline, CrashLimit: crashLimit,
+// limit leaves out what the deployment does not run.
+func (t *teamFile) limit(spec standin.DeploymentSpec) {
+	t.Services = slices.DeleteFunc(t.Services, func(s serviceFile) bool {
+		_, err := spec.Service(s.Name)
+		return err != nil
+	})
+	for i := range t.Services {
+		service, _ := spec.Service(t.Services[i].Name)
+		t.Services[i].Slots = service.Slots
 	}
-	if service.Submission {
-		described.Kind = string(bundle.KindSubmission)
-		return described
-	}
-	described.Hedge = &hedgeFile{Quantile: hedgeQuantile, Budget: hedgeBudget}
-	described.Canary = &canaryFile{Enabled: service.Shards > 1, MaxWait: canaryMaxWait}
-	return described
-}
-
-func describeClass(class Class) classFile {
-	return classFile{
-		Name: class.Name, Priority: class.Priority, MinCoverage: class.MinCoverage,
-		Deadline: class.Deadline.String(), Services: class.Services,
+	for i := range t.Classes {
+		t.Classes[i].Services = present(spec, t.Classes[i].Services)
 	}
+	t.Classes = slices.DeleteFunc(t.Classes, func(c classFile) bool { return len(c.Services) == 0 })
+	t.Callers = slices.DeleteFunc(t.Callers, func(c callerFile) bool {
+		return !slices.ContainsFunc(t.Classes, func(class classFile) bool { return class.Name == c.Class })
+	})
 }
 
 // present returns the services that the deployment runs.
--- a/pkg/fleet/class.go
+++ b/pkg/fleet/class.go
@@ -1,16 +1,17 @@
 package fleet
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
-	"github.com/sycamorelift/sycamorelift/pkg/standin"
+	"github.com/sycamorelift/sycamorelift/examples"
+	"github.com/sycamorelift/sycamorelift/pkg/bundle"
 )
 
-// Class is a class of callers with the caller that stands for it.
+// Class is a class of callers of an example bundle, with the caller that stands
+// for it.
 type Class struct {
 	Name        string
+	Caller      string
 	Priority    int // 0 is served first
 	MinCoverage float64
 	Deadline    time.Duration
@@ -18,44 +19,45 @@
 	Share       float64  // of the load
 }
 
-// Token returns the token of the class's caller.
-func (c Class) Token() string { return "token-of-" + c.Name }
-
-func (c Class) tokenSHA256() string {
-	sum := sha256.Sum256([]byte(c.Token()))
-	return hex.EncodeToString(sum[:])
+// shares is the part of the load that each class sends.
+var shares = map[string]float64{
+	"inspector": 0.2, "clerk": 0.4, "flight-school": 0.4,
+	"same-day": 0.2, "front-desk": 0.3, "chain": 0.3, "masajista": 0.2,
 }
 
-// Classes returns the caller classes of a deployment, first priority first.
+// Token returns the token of the class's caller.
+func (c Class) Token() string { return examples.Token(c.Caller) }
+
+// Classes returns the caller classes of a deployment's example bundle, first
+// priority first. The examples are checked by their own test; a broken one is a
+// fault of this build.
 func Classes(deployment string) []Class {
-	if deployment == standin.AgendaSerenaName {
-		return agendaSerenaClasses()
+	team, err := exampleTeam(deployment)
+	if err != nil {
+		panic(err)
 	}
-	return officeClasses()
-}
-
-// A renewal clerk needs the full history before signing; an inspector at the
-// aircraft needs a quick check; a flight school reads single records.
-func officeClasses() []Class {
-	return []Class{
-		{Name: "inspector", Priority: 0, MinCoverage: 0.8, Deadline: time.Second, Share: 0.2,
-			Services: []string{"renewal-search", "aeromedical-exchange"}},
-		{Name: "clerk", Priority: 1, MinCoverage: 1, Deadline: 2 * time.Second, Share: 0.4,
-			Services: []string{"renewal-search", "aeromedical-exchange", "fee-ledger"}},
-		{Name: "school", Priority: 2, MinCoverage: 0.5, Deadline: time.Second, Share: 0.4,
-			Services: []string{"school-portal", "renewal-search"}},
+	callers := make(map[string]string)
+	for _, caller := range team.Callers {
+		callers[caller.Class] = caller.Name
 	}
+	classes := make([]Class, 0, len(team.Classes))
+	for _, c := range team.Classes {
+		classes = append(classes, Class{
+			Name: c.Name, Caller: callers[c.Name], Priority: c.Priority, MinCoverage: c.MinCoverage,
+			Deadline: c.Deadline, Services: c.Services, Share: shares[c.Name],
+		})
+	}
+	return classes
 }
 
-// An urgent opening is lost when the search is late; the chain's batch of
-// look-ups comes last.
-func agendaSerenaClasses() []Class {
-	return []Class{
-		{Name: "urgent", Priority: 0, MinCoverage: 0.8, Deadline: time.Second, Share: 0.2,
-			Services: []string{"booking-search"}},
-		{Name: "front-desk", Priority: 1, MinCoverage: 0.9, Deadline: time.Second, Share: 0.4,
-			Services: []string{"booking-search", "profiles", "payments"}},
-		{Name: "chain", Priority: 2, MinCoverage: 0.5, Deadline: 2 * time.Second, Share: 0.4,
-			Services: []string{"booking-search", "profiles", "reminders"}},
+func exampleTeam(deployment string) (bundle.Team, error) {
+	data, err := examples.Bundle(deployment)
+	if err != nil {
+		return bundle.Team{}, err
+	}
+	parsed, err := bundle.Parse(deployment+"/bundle.yaml", data)
+	if err != nil {
+		return bundle.Team{}, err
 	}
+	return parsed.Teams[0], nil
 }
