Name missing backend capacity as the shortage of a refusal

Cause: under overload refusals named the shortage coverage, although the documents were reachable and slots were missing. The first shard that failed now decides between coverage and backend-capacity.

--- a/pkg/entry/finish.go
+++ b/pkg/entry/finish.go
@@ -61,13 +61,14 @@
 // missing.
 func (q *query) refuseCoverage(report coverage.Report) *Refusal {
 	possible := q.account.Reachable()
-	detail := fmt.Sprintf("covered %.4f, at most %.4f reachable, %.4f required; first missing: %s",
-		report.Fraction, possible, leastCoverage(q.policy), firstMissing(report, q.pendingReason()))
+	first := firstMissing(report, q.pendingReason())
+	detail := fmt.Sprintf("covered %.4f, at most %.4f reachable, %.4f required; first missing: shard %d (%s)",
+		report.Fraction, possible, leastCoverage(q.policy), first.Shard, first.Reason)
 	statement := q.record.statement()
 	if rule := findRule(q.policy, bundle.RuleCoverageBelow); rule != nil && report.Fraction < rule.Limit {
 		return byRule(q.policy, rule, statement, detail)
 	}
-	refusal := shortage(statement, ShortageCoverage, detail)
+	refusal := shortage(statement, shortageOf(first.Reason), detail)
 	if !q.now().Before(q.deadline.Add(-replyReserve)) {
 		refusal.Status = http.StatusGatewayTimeout
 	}
@@ -76,13 +77,25 @@
 
 // firstMissing names a shard that failed, rather than one that was given up
 // because of it.
-func firstMissing(report coverage.Report, pending coverage.Reason) string {
-	if len(report.Missing) == 0 {
-		return "none"
+func firstMissing(report coverage.Report, pending coverage.Reason) coverage.Missing {
+	for _, m := range report.Missing {
+		if m.Reason != pending {
+			return m
+		}
 	}
-	m := report.Missing[0]
-	if i := slices.IndexFunc(report.Missing, func(m coverage.Missing) bool { return m.Reason != pending }); i >= 0 {
-		m = report.Missing[i]
+	if len(report.Missing) > 0 {
+		return report.Missing[0]
+	}
+	return coverage.Missing{}
+}
+
+// shortageOf names what was short when a shard is missing for a reason: slots
+// of backend servers that could be reached, or the documents themselves.
+func shortageOf(reason coverage.Reason) Shortage {
+	switch reason {
+	case reasonOf(peerpb.ResultStatus_SHED), reasonOf(peerpb.ResultStatus_DEADLINE):
+		return ShortageCapacity
+	default:
+		return ShortageCoverage
 	}
-	return fmt.Sprintf("shard %d (%s)", m.Shard, m.Reason)
 }
