Word failures for callers without addresses and Go names

Details that callers see quoted errors of the standard library: addresses of instances and backend servers in dial errors, Go types in JSON errors, enum names, and the value of a panic. pkg/failure names a failure in plain words; the full error goes to the log (cause of a refusal, attempts at debug, a panic at error) and to spans.

--- a/pkg/backend/callerror.go
+++ b/pkg/backend/callerror.go
@@ -13,12 +13,15 @@
 	Draining    bool
 	Snapshots   []int64
 	Incarnation string
-	Detail      string
-	Cause       error // may be nil
+	Detail      string // for callers
+	Cause       error  // may be nil
 }
 
-// Error names status, run state and detail.
+// Error names status, run state, detail and cause. It is for logs and spans.
 func (e *CallError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("backend call: %s, %s: %s: %v", e.Status, e.Run, e.Detail, e.Cause)
+	}
 	return fmt.Sprintf("backend call: %s, %s: %s", e.Status, e.Run, e.Detail)
 }
 
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -15,6 +15,7 @@
 
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/sycamorelift/sycamorelift/pkg/failure"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 )
 
@@ -104,19 +105,19 @@
 	case errors.As(err, &call):
 		return call
 	case ctx.Err() != nil:
-		return unknownRun(peerpb.ResultStatus_DEADLINE, ctx.Err().Error(), ctx.Err())
+		return unknownRun(peerpb.ResultStatus_DEADLINE, failure.Describe(ctx.Err()), ctx.Err())
 	case errors.Is(err, errReplyTooLarge):
 		return invalidReply(err.Error(), err)
 	case errors.Is(err, os.ErrDeadlineExceeded) && deadlinePassed(conn.deadline):
-		return unknownRun(peerpb.ResultStatus_DEADLINE, "deadline exceeded", context.DeadlineExceeded)
+		return unknownRun(peerpb.ResultStatus_DEADLINE, failure.DeadlinePassed, context.DeadlineExceeded)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return unknownRun(peerpb.ResultStatus_UNREACHABLE, "no progress within "+conn.progress.String(), err)
 	case conn.received > 0 && errors.Is(err, io.ErrUnexpectedEOF):
 		return invalidReply("truncated reply", err)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
-		return unknownRun(peerpb.ResultStatus_CRASHED, "connection lost: "+err.Error(), err)
+		return unknownRun(peerpb.ResultStatus_CRASHED, failure.ConnectionLost, err)
 	default:
-		return invalidReply(err.Error(), err)
+		return invalidReply("malformed reply", err)
 	}
 }
 
@@ -130,5 +131,9 @@
 	if ctx.Err() != nil {
 		return notRun(peerpb.ResultStatus_DEADLINE, "no connection before the deadline", ctx.Err())
 	}
-	return notRun(peerpb.ResultStatus_UNREACHABLE, err.Error(), err)
+	detail := failure.Describe(err)
+	if errors.Is(err, errNoQuota) || errors.Is(err, errClosed) {
+		detail = err.Error()
+	}
+	return notRun(peerpb.ResultStatus_UNREACHABLE, detail, err)
 }
--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -67,7 +67,7 @@
 	req, err := p.searchRequest(ctx, call)
 	if err != nil {
 		p.discard(conn)
-		return nil, false, notRun(peerpb.ResultStatus_INVALID_REPLY, err.Error(), err)
+		return nil, false, notRun(peerpb.ResultStatus_INVALID_REPLY, "request not built", err)
 	}
 	start := time.Now()
 	r, err := p.exchange(ctx, conn, req, p.progressLimit())
--- a/pkg/backend/submit.go
+++ b/pkg/backend/submit.go
@@ -46,7 +46,7 @@
 	defer p.discard(conn)
 	req, err := p.submitRequest(ctx, call)
 	if err != nil {
-		return nil, notRun(peerpb.ResultStatus_INVALID_REPLY, err.Error(), err)
+		return nil, notRun(peerpb.ResultStatus_INVALID_REPLY, "request not built", err)
 	}
 	if ctx.Err() != nil {
 		return nil, acquireError(ctx, ctx.Err())
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -116,22 +116,9 @@
 		copied := *refusal
 		return &copied
 	}
-	return shortage(Unknown, ShortageInternal, err.Error())
-}
-
-// decode reads one JSON body; errors name the place in the body.
-func decode(r *http.Request, into any) error {
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(into)
-	if err == nil {
-		return nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return invalid(http.StatusRequestEntityTooLarge, fmt.Sprintf("body exceeds %d bytes", tooLarge.Limit))
-	}
-	return invalid(http.StatusBadRequest, fmt.Sprintf("malformed body at byte %d: %v", decoder.InputOffset(), err))
+	refusal = shortage(Unknown, ShortageInternal, "see the log of the instance")
+	refusal.cause = err
+	return refusal
 }
 
 func bearerToken(r *http.Request) string {
--- a/pkg/entry/refusal.go
+++ b/pkg/entry/refusal.go
@@ -43,6 +43,8 @@
 	Reason       Reason       `json:"reason"`
 	RetryAfterMs int64        `json:"retry_after_ms,omitempty"`
 	Status       int          `json:"-"` // HTTP status
+
+	cause error // for the log only: it may name addresses
 }
 
 // Error describes the refusal.
--- a/pkg/entry/refusallog.go
+++ b/pkg/entry/refusallog.go
@@ -18,7 +18,7 @@
 	if version == 0 {
 		version = d.policy.BundleVersion
 	}
-	e.config.Logger.LogAttrs(ctx, level, "request refused",
+	attributes := []slog.Attr{
 		slog.String("team", c.team),
 		slog.String("service", c.service),
 		slog.String("caller", d.policy.Caller),
@@ -30,5 +30,10 @@
 		slog.Int64("bundle_version", version),
 		slog.String("signer", reason.Signer),
 		slog.String("detail", reason.Detail),
-		slog.Int("status", refusal.Status))
+		slog.Int("status", refusal.Status),
+	}
+	if refusal.cause != nil {
+		attributes = append(attributes, slog.Any("cause", refusal.cause))
+	}
+	e.config.Logger.LogAttrs(ctx, level, "request refused", attributes...)
 }
--- a/pkg/entry/submit.go
+++ b/pkg/entry/submit.go
@@ -117,6 +117,7 @@
 		return refusal
 	}
 	refusal := shortage(run, Shortage(refused.Reason), refused.Error())
+	refusal.cause = refused.Cause
 	if refused.Status == peerpb.ResultStatus_DEADLINE {
 		refusal.Status = http.StatusGatewayTimeout
 	}
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/admission"
 	"github.com/sycamorelift/sycamorelift/pkg/backend"
 	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
+	"github.com/sycamorelift/sycamorelift/pkg/failure"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 )
 
@@ -150,10 +151,11 @@
 }
 
 func (a *attemptRun) failed(ctx context.Context, r *replica, err error) shardReply {
+	a.owner.config.Logger.DebugContext(ctx, "search attempt failed", "backend_server", r.server.ID, "error", err)
 	var call *backend.CallError
 	if !errors.As(err, &call) {
 		result := a.result(peerpb.ResultStatus_UNREACHABLE, peerpb.RunState_RUN_STATE_UNKNOWN)
-		result.Detail = err.Error()
+		result.Detail = failure.Describe(err)
 		return shardReply{result: result}
 	}
 	a.owner.observe(ctx, r, call.Draining, call.Incarnation)
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -49,6 +49,9 @@
 
 // New returns an owner without open connections.
 func New(config Config) *Owner {
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Owner{
 		config: config,
 		replicas: &replicas{
--- a/pkg/owner/submissionslot.go
+++ b/pkg/owner/submissionslot.go
@@ -51,6 +51,7 @@
 }
 
 func (s *submissionSlot) failed(ctx context.Context, err error) error {
+	s.owner.config.Logger.DebugContext(ctx, "submission attempt failed", "backend_server", s.replica.server.ID, "error", err)
 	var call *backend.CallError
 	if errors.As(err, &call) {
 		s.shed = call.Status == peerpb.ResultStatus_SHED
--- a/pkg/submission/issuer.go
+++ b/pkg/submission/issuer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
@@ -17,6 +18,7 @@
 	Replicas Replicas
 	Sender   func() *peerpb.Sender // identifies this instance in messages
 	Now      func() time.Time
+	Logger   *slog.Logger // nil logs nothing
 }
 
 // Issuer implements the calls IssueTicket and Redeem of peerpb.Peer. It is safe
@@ -27,6 +29,9 @@
 
 // NewIssuer returns an issuer for the ledger's tickets.
 func NewIssuer(config IssuerConfig) *Issuer {
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Issuer{config: config}
 }
 
--- a/pkg/submission/refusal.go
+++ b/pkg/submission/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"github.com/sycamorelift/sycamorelift/pkg/ticket"
@@ -12,7 +13,8 @@
 	Reason Reason
 	Ticket ticket.Kind         // for ReasonTicket
 	Status peerpb.ResultStatus // for ReasonBackend
-	Detail string
+	Detail string              // for callers
+	Cause  error               // for the log, may be nil
 	// Run is about this attempt: NOT_RUN or UNKNOWN. It is UNKNOWN as well when
 	// the issuer ran nothing for the message that it refused but cannot rule out
 	// that it ran a duplicate of it.
@@ -40,13 +42,16 @@
 	}
 }
 
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Cause }
+
 func (r *Refusal) cause() string {
 	cause := ""
 	if r.Ticket != "" {
 		cause += " " + string(r.Ticket)
 	}
 	if r.Status != peerpb.ResultStatus_RESULT_STATUS_UNSPECIFIED {
-		cause += " " + r.Status.String()
+		cause += " " + strings.ToLower(strings.ReplaceAll(r.Status.String(), "_", "-"))
 	}
 	if r.Detail != "" {
 		cause += " (" + r.Detail + ")"
--- a/pkg/submission/run.go
+++ b/pkg/submission/run.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
+	"runtime/debug"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/pkg/failure"
 	"github.com/sycamorelift/sycamorelift/pkg/outcome"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 	"github.com/sycamorelift/sycamorelift/pkg/ticket"
@@ -43,7 +44,8 @@
 func (r *run) attemptsRecovered(ctx context.Context) (result ticket.Result) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			result = unknown(fmt.Sprintf("panic: %v", cause))
+			r.issuer.config.Logger.ErrorContext(ctx, "submission panicked", "panic", cause, "stack", string(debug.Stack()))
+			result = unknown(failure.Internal)
 		}
 	}()
 	return r.attempts(ctx)
@@ -64,7 +66,7 @@
 			return ticket.Result{Run: peerpb.RunState_RUN_STATE_RUN, Status: peerpb.ResultStatus_OK, Payload: payload}
 		}
 		if !errors.As(err, &last) {
-			return unknown(err.Error())
+			return unknown(failure.Describe(err))
 		}
 		if last.Run != peerpb.RunState_RUN_STATE_NOT_RUN {
 			r.state.Answer(last.Run)
--- a/pkg/submission/ticket.go
+++ b/pkg/submission/ticket.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/pkg/failure"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"github.com/twitchtv/twirp"
 )
 
 // issueTimeout bounds one request for a ticket. It exceeds a round trip between
@@ -34,18 +37,28 @@
 	if refusal != nil {
 		return Ticket{}, refusal
 	}
-	detail := "the view has no owner"
+	detail, cause := "the view has no owner", error(nil)
 	for _, candidate := range r.owners(p) {
 		issued, err := r.issue(ctx, candidate, request)
 		if err == nil {
 			return issued, nil
 		}
-		detail = candidate.instance.ID + ": " + err.Error()
+		detail, cause = candidate.instance.ID+": "+describeIssue(err), err
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return Ticket{}, &Refusal{Reason: ReasonNoOwner, Run: peerpb.RunState_RUN_STATE_NOT_RUN, Detail: detail}
+	return Ticket{}, &Refusal{Reason: ReasonNoOwner, Run: peerpb.RunState_RUN_STATE_NOT_RUN, Detail: detail, Cause: cause}
+}
+
+// describeIssue words the error of a request for a ticket. The issuer's own
+// refusal is meant for callers; other errors name addresses.
+func describeIssue(err error) string {
+	var refused twirp.Error
+	if errors.As(err, &refused) && refused.Code() == twirp.Unavailable {
+		return refused.Msg()
+	}
+	return failure.Describe(err)
 }
 
 func (r *Router) issue(ctx context.Context, from owner, request TicketRequest) (Ticket, error) {
