owner: log replies that do not match the manifest

Owners reject such replies before the entry instance sees them, so the entry's record 'reply rejected' no longer appeared and only missing shards showed the fault. The owner logs it at warn with the same name.

The new test failed before: there was no record.

--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -89,7 +89,7 @@
 	}
 	a.owner.observe(ctx, r, found.Draining, found.Incarnation)
 	if !a.matchesManifest(found) {
-		return a.mismatched(found)
+		return a.mismatched(ctx, found)
 	}
 	return a.succeeded(found)
 }
@@ -117,12 +117,14 @@
 	return found.From == a.attempt.From && found.To == a.attempt.To && found.Documents == a.attempt.Documents
 }
 
-func (a *attemptRun) mismatched(found *backend.SearchReply) shardReply {
+func (a *attemptRun) mismatched(ctx context.Context, found *backend.SearchReply) shardReply {
 	result := a.result(peerpb.ResultStatus_INVALID_REPLY, peerpb.RunState_RUN_STATE_RUN)
 	result.Snapshots = found.Snapshots
 	result.Draining = found.Draining
 	result.Detail = fmt.Sprintf("reply covers [%q, %q) with %d documents, the manifest states [%q, %q) with %d",
 		found.From, found.To, found.Documents, a.attempt.From, a.attempt.To, a.attempt.Documents)
+	a.owner.config.Logger.WarnContext(ctx, "reply rejected",
+		"backend_server", a.attempt.BackendServerId, "snapshot", found.Snapshot, "error", result.Detail)
 	return shardReply{result: result}
 }
 
--- a/pkg/owner/log_test.go
+++ b/pkg/owner/log_test.go
@@ -23,15 +23,11 @@
 func (testControl) Sender() *peerpb.Sender           { return &peerpb.Sender{} }
 func (testControl) AddNotice(*peerpb.Notice)         {}
 
-// Guards against records of an owner that cannot be joined with the request
-// during which they were written: its id comes with the entry's message.
-func TestLogNamesTheRequest(t *testing.T) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Sycamorelift-Draining", "1")
-		w.Header().Set("Sycamorelift-Incarnation", "inc-1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		_, _ = io.WriteString(w, `{"not_run": true, "reason": "draining"}`)
-	}))
+// searchLogged searches one shard on a server with the handler and returns the
+// log record of it.
+func searchLogged(t *testing.T, handler http.HandlerFunc) map[string]any {
+	t.Helper()
+	server := httptest.NewServer(handler)
 	defer server.Close()
 	view := membership.NewView("i1", "a")
 	view.Replace(membership.Members{
@@ -45,12 +41,36 @@
 	o := New(Config{SelfID: "i1", View: view, Control: testControl{}, Guard: crashguard.New(), Logger: logger, Now: time.Now})
 	defer o.replicas.closeAll()
 	err = o.Search(t.Context(), &peerpb.SearchRequest{
-		RequestId: "r1", TimeoutMs: 3000, Slots: 1, Connections: 4,
-		Attempts: []*peerpb.ShardAttempt{{Attempt: 1, BackendServerId: "b1"}},
+		RequestId: "r1", TimeoutMs: 3000, Slots: 1, Connections: 4, Snapshot: 7,
+		Attempts: []*peerpb.ShardAttempt{{Attempt: 1, BackendServerId: "b1", Documents: 5}},
 	}, func(*peerpb.SearchFrame) error { return nil })
 	assert.NilError(t, err)
 	var record map[string]any
 	assert.NilError(t, json.Unmarshal(log.Bytes(), &record), log.String())
+	return record
+}
+
+// Guards against records of an owner that cannot be joined with the request
+// during which they were written: its id comes with the entry's message.
+func TestLogNamesTheRequest(t *testing.T) {
+	record := searchLogged(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Sycamorelift-Draining", "1")
+		w.Header().Set("Sycamorelift-Incarnation", "inc-1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"not_run": true, "reason": "draining"}`)
+	})
 	assert.Equal(t, record["msg"], "backend server is draining")
 	assert.Equal(t, record["request_id"], "r1")
 }
+
+// Guards against a backend server that disagrees with the index manifest while
+// nothing but missing shards shows it.
+func TestRejectedReplyIsLogged(t *testing.T) {
+	record := searchLogged(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"request": "r1", "attempt": 1, "shard": 0, "snapshot": 7, "documents": 4, "complete": true}`)
+	})
+	assert.Equal(t, record["msg"], "reply rejected")
+	assert.Equal(t, record["level"], "WARN")
+	assert.Equal(t, record["backend_server"], "b1")
+	assert.Equal(t, record["request_id"], "r1")
+}
