--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/admission"
 	"github.com/sycamorelift/sycamorelift/pkg/backend"
 	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
+	"github.com/sycamorelift/sycamorelift/pkg/failure"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
 )
 
@@ -88,7 +89,7 @@
 	}
 	a.owner.observe(ctx, r, found.Draining, found.Incarnation)
 	if !a.matchesManifest(found) {
-		return a.mismatched(found)
+		return a.mismatched(ctx, found)
 	}
 	return a.succeeded(found)
 }
@@ -116,12 +117,14 @@
 	return found.From == a.attempt.From && found.To == a.attempt.To && found.Documents == a.attempt.Documents
 }
 
-func (a *attemptRun) mismatched(found *backend.SearchReply) shardReply {
+func (a *attemptRun) mismatched(ctx context.Context, found *backend.SearchReply) shardReply {
 	result := a.result(peerpb.ResultStatus_INVALID_REPLY, peerpb.RunState_RUN_STATE_RUN)
 	result.Snapshots = found.Snapshots
 	result.Draining = found.Draining
 	result.Detail = fmt.Sprintf("reply covers [%q, %q) with %d documents, the manifest states [%q, %q) with %d",
 		found.From, found.To, found.Documents, a.attempt.From, a.attempt.To, a.attempt.Documents)
+	a.owner.config.Logger.WarnContext(ctx, "reply rejected",
+		"backend_server", a.attempt.BackendServerId, "snapshot", found.Snapshot, "error", result.Detail)
 	return shardReply{result: result}
 }
 
@@ -150,10 +153,11 @@
 }
 
 func (a *attemptRun) failed(ctx context.Context, r *replica, err error) shardReply {
+	a.owner.config.Logger.DebugContext(ctx, "search attempt failed", "backend_server", r.server.ID, "error", err)
 	var call *backend.CallError
 	if !errors.As(err, &call) {
 		result := a.result(peerpb.ResultStatus_UNREACHABLE, peerpb.RunState_RUN_STATE_UNKNOWN)
-		result.Detail = err.Error()
+		result.Detail = failure.Describe(err)
 		return shardReply{result: result}
 	}
 	a.owner.observe(ctx, r, call.Draining, call.Incarnation)
