Keep a crashing request within its limit without blaming others

A test sends a request that crashes each backend server that runs it again and again through all entries, with reports that take up to 40 ms to spread, next to requests that are known to succeed.

- The entry blamed a crash on every request whose attempt ended with it, also on those that were known to succeed: "innocent request 14: refused".
Such a request is now left to the owner's judgement.
- A canary moved on to further shards while reports were under way: "3 backend servers ran the poison request".
Asking the guard again alone was not enough, since reports take longer than a refused connection.
- A slow canary could be hedged, so that it crashed two servers under a limit of one: TestCanaryIsNotHedgedBeyondCrashLimit saw 2 for 1.

--- a/pkg/entry/check.go
+++ b/pkg/entry/check.go
@@ -29,20 +29,26 @@
 
 // check fails over from owners that did not accept a request, retries attempts
 // that take too long, starts hedges and releases shards held for the canary.
-func (q *query) check(ctx context.Context) {
+func (q *query) check(ctx context.Context) error {
 	now := q.now()
 	for _, d := range q.sent {
 		if !d.acked && d.pending > 0 && now.Sub(d.sent) > ackTimeout && !d.moot() {
 			q.entry.config.View.ReportCall(d.owner.ID, false, now)
 			q.entry.config.Metrics.Count("owners.unresponsive", 1)
 			d.acked = true // reported; do not report again
-			q.failOver(ctx, d, now)
+			if err := q.failOver(ctx, d, now); err != nil {
+				return err
+			}
 		}
 	}
 	if q.held && q.policy.CanaryMaxWait > 0 && now.Sub(q.arrived) > q.policy.CanaryMaxWait {
+		if err := q.admit(); err != nil {
+			return err
+		}
 		q.release(ctx)
 	}
 	q.hedgeSlow(ctx, now)
+	return nil
 }
 
 // hedgeSlow sends a second attempt for shards that take longer than the hedge
@@ -85,6 +91,9 @@
 	if _, ok := q.next(a.shard); !ok {
 		return false
 	}
+	if q.held && q.crashes+a.shard.running >= q.policy.CrashLimit {
+		return false // a canary must not crash more backend servers than the limit
+	}
 	service := serviceKey(q.policy.Team, q.policy.Service)
 	if !config.Options.DisableHedging && config.Selector.AllowHedge(service, q.policy.HedgeBudget) {
 		return true
--- a/pkg/entry/hedge_test.go
+++ b/pkg/entry/hedge_test.go
@@ -133,3 +133,26 @@
 		assert.Assert(t, time.Since(began) < w.canary, "virtual time")
 	})
 }
+
+// Guards against a hedge of the canary that lets one request crash more backend
+// servers at once than its limit.
+func TestCanaryIsNotHedgedBeyondCrashLimit(t *testing.T) {
+	for limit := 1; limit <= 2; limit++ {
+		inBubble(t, func(t *testing.T, w *world) {
+			w.publish(0, 1, limit)
+			w.canary = 300 * time.Millisecond
+			e := w.entry("i0")
+			w.sequence(t, e, 20)
+			w.publish(0, 1, limit)
+			w.script = func(*askedAttempt) fault { return silent }
+			_, _ = w.search(e, "r", "new query")
+			asked := map[string]bool{}
+			for _, a := range w.asked["r"] {
+				if a.Canary {
+					asked[a.BackendServerId] = true
+				}
+			}
+			assert.Equal(t, len(asked), limit)
+		})
+	}
+}
--- a/pkg/entry/oracle_test.go
+++ b/pkg/entry/oracle_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/owner"
 	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
@@ -112,6 +113,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, end := range w.ends {
+		if err := w.judgeCanary(w.begins[id], w.asked[id]); err != nil {
+			return fmt.Errorf("query %s: %w", id, err)
+		}
 		for _, a := range w.asked[id] {
 			if a.at.After(end) {
 				return fmt.Errorf("query %s: attempt %d is sent after the end", id, a.Attempt)
@@ -123,3 +127,25 @@
 	}
 	return nil
 }
+
+// judgeCanary requires that one shard is asked at a time until one has answered
+// or the longest wait has passed.
+func (w *world) judgeCanary(begin time.Time, asked []*askedAttempt) error {
+	if w.canary == 0 {
+		return nil
+	}
+	until := begin.Add(w.canary)
+	for _, a := range asked {
+		if a.right && a.over.Before(until) {
+			until = a.over
+		}
+	}
+	for i, b := range asked {
+		for _, a := range asked[:i] {
+			if b.at.Before(until) && a.Shard != b.Shard && (a.over.IsZero() || a.over.After(b.at)) {
+				return fmt.Errorf("shard %d is asked while the canary on shard %d runs", b.Shard, a.Shard)
+			}
+		}
+	}
+	return nil
+}
--- a/pkg/entry/query.go
+++ b/pkg/entry/query.go
@@ -109,7 +109,9 @@
 				return err
 			}
 		case <-check.C:
-			q.check(ctx)
+			if err := q.check(ctx); err != nil {
+				return err
+			}
 			check.Reset(q.nextCheck())
 		case <-end.C:
 			return nil
--- a/pkg/entry/query_test.go
+++ b/pkg/entry/query_test.go
@@ -50,6 +50,7 @@
 		go func() {
 			time.Sleep(time.Duration(w.hash("start", n)%200) * time.Millisecond)
 			id := fmt.Sprint("r", n)
+			w.update(func() { w.begins[id] = time.Now() })
 			answer, err := w.search(e, id, fmt.Sprint("query ", n))
 			w.update(func() { w.ends[id] = time.Now() })
 			if wrong := w.judge(id, s.minCoverage, answer, err); wrong != nil {
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -16,7 +16,7 @@
 		return q.handleFrame(ctx, ev.dispatch, ev.frame)
 	}
 	if ev.dispatch.pending > 0 {
-		q.handleLostOwner(ctx, ev.dispatch, ev.err)
+		return q.handleLostOwner(ctx, ev.dispatch, ev.err)
 	}
 	return nil
 }
@@ -113,7 +113,19 @@
 	}
 	if result.Status == peerpb.ResultStatus_CRASHED {
 		q.crashes++
-		config.Guard.Learn(q.fingerprint, a.server.ID, a.server.Zone, now)
+		if result.Run != peerpb.RunState_RUN_STATE_NOT_RUN {
+			q.blame(a, now)
+		}
+	}
+}
+
+// blame reports a crash to this instance's guard. A request that is known to
+// succeed was probably running next to the one that caused the crash; the owner,
+// which knows all that were running, judges it.
+func (q *query) blame(a *attempt, now time.Time) {
+	guard := q.entry.config.Guard
+	if !guard.KnownGood(q.fingerprint, now) {
+		guard.Learn(q.fingerprint, a.server.ID, a.server.Zone, now)
 	}
 }
 
@@ -173,7 +185,7 @@
 	}
 	q.fail(s, "snapshot no longer served")
 	if q.held {
-		q.nextCanary(ctx)
+		return q.nextCanary(ctx)
 	}
 	return nil
 }
@@ -186,8 +198,7 @@
 	s.lastError = reason
 	config := q.entry.config
 	if q.held {
-		q.retryCanary(ctx, s)
-		return nil
+		return q.retryCanary(ctx, s)
 	}
 	_, ok := q.next(s)
 	if !ok || config.Options.DisableRetries || !config.Selector.AllowRetry(serviceKey(q.policy.Team, q.policy.Service)) {
@@ -201,20 +212,38 @@
 
 // retryCanary asks the canary's next replica, or another shard when the
 // canary's shard has none left.
-func (q *query) retryCanary(ctx context.Context, s *shardState) {
-	if _, ok := q.next(s); ok {
-		q.send(ctx, []*shardState{s}, false)
-		return
+func (q *query) retryCanary(ctx context.Context, s *shardState) error {
+	if _, ok := q.next(s); !ok {
+		q.fail(s, s.lastError)
+		return q.nextCanary(ctx)
+	}
+	if err := q.admit(); err != nil {
+		return err
 	}
-	q.fail(s, s.lastError)
-	q.nextCanary(ctx)
+	q.send(ctx, []*shardState{s}, false)
+	return nil
 }
 
 // nextCanary asks another shard first, unless the query ends anyway.
-func (q *query) nextCanary(ctx context.Context) {
-	if !q.hopeless() {
-		q.sendCanary(ctx)
+func (q *query) nextCanary(ctx context.Context) error {
+	if q.hopeless() {
+		return nil
 	}
+	if err := q.admit(); err != nil {
+		return err
+	}
+	q.sendCanary(ctx)
+	return nil
+}
+
+// admit refuses a request that other instances have meanwhile reported to crash
+// backend servers.
+func (q *query) admit() error {
+	err := q.entry.config.Guard.Admit(q.fingerprint, q.policy.CrashLimit, q.now())
+	if err == nil {
+		return nil
+	}
+	return refuseCrashing(q.policy, q.record.statement(), err)
 }
 
 // settle ends a shard and cancels the streams that only its losing attempts
@@ -243,23 +272,24 @@
 
 // handleLostOwner sends the attempts of a broken stream to the next owner of
 // the same backend servers.
-func (q *query) handleLostOwner(ctx context.Context, d *dispatch, cause error) {
+func (q *query) handleLostOwner(ctx context.Context, d *dispatch, cause error) error {
 	if d.moot() || ctx.Err() != nil {
-		return
+		return nil
 	}
 	now := q.now()
 	q.entry.config.View.ReportCall(d.owner.ID, false, now)
 	q.entry.config.Metrics.Count("owners.lost", 1)
 	q.entry.config.Logger.Debug("owner lost", "request", q.request.RequestID, "owner", d.owner.ID, "error", cause)
-	q.failOver(ctx, d, now)
+	return q.failOver(ctx, d, now)
 }
 
 // failOver moves the pending attempts of a dispatch to the next rank. Where
 // another attempt of the shard is running, only a hedge is moved: the other one
-// was already too slow.
-func (q *query) failOver(ctx context.Context, d *dispatch, now time.Time) {
+// was already too slow. The error ends the query.
+func (q *query) failOver(ctx context.Context, d *dispatch, now time.Time) error {
 	d.cancel()
 	groups := make(map[string]*dispatch)
+	var refused error
 	for _, a := range d.attempts {
 		if a.finished {
 			continue
@@ -268,22 +298,23 @@
 		if a.shard.done || (a.shard.running > 0 && !a.hedge) {
 			continue
 		}
-		q.moveAttempt(ctx, groups, a, d, now)
+		if err := q.moveAttempt(ctx, groups, a, d, now); err != nil {
+			refused = err
+		}
 	}
 	for _, next := range groups {
 		q.launch(ctx, next)
 	}
+	return refused
 }
 
-func (q *query) moveAttempt(ctx context.Context, groups map[string]*dispatch, a *attempt, from *dispatch, now time.Time) {
+func (q *query) moveAttempt(ctx context.Context, groups map[string]*dispatch, a *attempt, from *dispatch, now time.Time) error {
 	if !q.mayReceive(a.server) {
-		_ = q.retry(ctx, a.shard, "backend server is leaving")
-		return
+		return q.retry(ctx, a.shard, "backend server is leaving")
 	}
 	to, rank, ok := q.ownerAfter(a.server.ID, from, now)
 	if !ok {
-		_ = q.retry(ctx, a.shard, "no owner instance answered")
-		return
+		return q.retry(ctx, a.shard, "no owner instance answered")
 	}
 	next, ok := groups[to.ID]
 	if !ok {
@@ -291,4 +322,5 @@
 		groups[to.ID] = next
 	}
 	q.addAttempt(next, a.shard, a.server, now, a.hedge)
+	return nil
 }
