--- a/pkg/entry/check.go
+++ b/pkg/entry/check.go
@@ -29,28 +29,34 @@
 
 // check fails over from owners that did not accept a request, retries attempts
 // that take too long, starts hedges and releases shards held for the canary.
-func (q *query) check(ctx context.Context) {
+func (q *query) check(ctx context.Context) error {
 	now := q.now()
 	for _, d := range q.sent {
-		if !d.acked && d.pending > 0 && !d.moot() {
-			q.checkOwner(ctx, d, now)
+		if d.acked || d.pending == 0 || d.moot() {
+			continue
+		}
+		if err := q.checkOwner(ctx, d, now); err != nil {
+			return err
 		}
 	}
 	if q.held && q.policy.CanaryMaxWait > 0 && now.Sub(q.arrived) > q.policy.CanaryMaxWait {
+		if err := q.admit(); err != nil {
+			return err
+		}
 		q.release(ctx)
 	}
-	q.hedgeSlow(ctx, now)
+	return q.hedgeSlow(ctx, now)
 }
 
 // checkOwner fails over from an owner that has not accepted the request. While
 // the owner accepts other requests it is only slow, and the retry budget bounds
 // the fail-over: on a busy machine many owners are late at once and the
 // repeated work would add to the load.
-func (q *query) checkOwner(ctx context.Context, d *dispatch, now time.Time) {
+func (q *query) checkOwner(ctx context.Context, d *dispatch, now time.Time) error {
 	waited := now.Sub(d.sent)
 	config := q.entry.config
 	if waited <= q.entry.acks.limit(d.owner.ID, now) {
-		return
+		return nil
 	}
 	d.acked = true // reported; do not report again
 	q.entry.acks.waited(d.owner.ID, waited)
@@ -58,13 +64,14 @@
 	config.Metrics.Count("owners.unresponsive", 1)
 	service := serviceKey(q.policy.Team, q.policy.Service)
 	if q.entry.acks.isGone(d.owner.ID, now) || config.Selector.AllowRetry(service) {
-		q.failOver(ctx, d, now)
+		return q.failOver(ctx, d, now)
 	}
+	return nil
 }
 
-// hedgeSlow sends a second attempt for shards that take longer than the hedge
+// hedgeSlow sends a second attempt, of a canary to another shard, for shards that take longer than the hedge
 // delay, and a retry for those that take too large a share of the deadline.
-func (q *query) hedgeSlow(ctx context.Context, now time.Time) {
+func (q *query) hedgeSlow(ctx context.Context, now time.Time) error {
 	delay, hedging := q.hedgeDelay()
 	limit := time.Duration(attemptShare * float64(q.policy.Deadline))
 	slow := make([]*shardState, 0)
@@ -74,10 +81,15 @@
 			slow = append(slow, a.shard)
 		}
 	}
-	if len(slow) > 0 {
-		q.entry.config.Metrics.Count("attempts.hedged", int64(len(slow)))
-		q.send(ctx, slow, true)
+	if len(slow) == 0 {
+		return nil
 	}
+	q.entry.config.Metrics.Count("attempts.hedged", int64(len(slow)))
+	if q.held {
+		return q.nextCanary(ctx)
+	}
+	q.send(ctx, slow, true)
+	return nil
 }
 
 // slowest returns the unfinished attempts that are due for a second attempt.
@@ -102,6 +114,9 @@
 	if _, ok := q.next(a.shard); !ok {
 		return false
 	}
+	if limit := crashLimit(q.policy); q.held && limit > 0 && q.crashes+q.record.inFlight >= limit {
+		return false // a canary must not crash more backend servers than the limit
+	}
 	service := serviceKey(q.policy.Team, q.policy.Service)
 	if !config.Options.DisableHedging && config.Selector.AllowHedge(service, q.policy.HedgeBudget) {
 		return true
--- a/pkg/entry/query.go
+++ b/pkg/entry/query.go
@@ -36,15 +36,16 @@
 	mayRestart  bool
 	record      *runRecord
 
-	account  *coverage.Account
-	shards   []*shardState
-	byShard  map[int]*shardState
-	open     int // shards not done
-	held     bool
-	attempts int32
-	crashes  int
-	events   chan event
-	sent     []*dispatch
+	account     *coverage.Account
+	shards      []*shardState
+	byShard     map[int]*shardState
+	open        int // shards not done
+	held        bool
+	attempts    int32
+	canaryZones map[string]bool // of canaries asked
+	crashes     int
+	events      chan event
+	sent        []*dispatch
 }
 
 func newQuery(e *Entry, request SearchRequest, policy bundle.Policy, pinned snapshot.Snapshot, fingerprint uint64, arrived time.Time, run *runRecord) *query {
@@ -59,6 +60,7 @@
 		record:      run,
 		attempts:    run.attempts,
 		account:     coverage.NewAccount(pinned),
+		canaryZones: make(map[string]bool),
 		byShard:     make(map[int]*shardState, len(pinned.Partitions)),
 		open:        len(pinned.Partitions),
 		events:      make(chan event, 2*len(pinned.Partitions)),
@@ -105,7 +107,9 @@
 				return err
 			}
 		case <-check.C:
-			q.check(ctx)
+			if err := q.check(ctx); err != nil {
+				return err
+			}
 			check.Reset(q.nextCheck())
 		case <-end.C:
 			return nil
--- a/pkg/entry/receive.go
+++ b/pkg/entry/receive.go
@@ -13,11 +13,14 @@
 
 // handle processes one event. The error ends the query.
 func (q *query) handle(ctx context.Context, ev event) error {
+	if ev.recheck != nil {
+		return q.handleRecheck(ctx, ev.recheck)
+	}
 	if ev.frame != nil {
 		return q.handleFrame(ctx, ev.dispatch, ev.frame)
 	}
 	if ev.dispatch.pending > 0 {
-		q.handleLostOwner(ctx, ev.dispatch, ev.err)
+		return q.handleLostOwner(ctx, ev.dispatch, ev.err)
 	}
 	return nil
 }
@@ -115,11 +118,19 @@
 	}
 	if result.Status == peerpb.ResultStatus_CRASHED {
 		q.crashes++
+		if result.Run != peerpb.RunState_RUN_STATE_NOT_RUN {
+			q.blame(a, now)
+		}
 	}
-	if result.Status == peerpb.ResultStatus_CRASHED && q.held {
-		// Without a canary the owner decides which of its running requests is
-		// to blame, and reports that.
-		config.Guard.Learn(q.fingerprint, a.server.ID, a.server.Zone, now)
+}
+
+// blame reports a crash to this instance's guard. A request that is known to
+// succeed was probably running next to the one that caused the crash; the owner,
+// which knows all that were running, judges it.
+func (q *query) blame(a *attempt, now time.Time) {
+	guard := q.entry.config.Guard
+	if !guard.KnownGood(q.fingerprint, now) {
+		guard.Learn(q.fingerprint, a.server.ID, a.server.Zone, now)
 	}
 }
 
@@ -155,6 +166,11 @@
 		return q.handleSnapshotGone(ctx, a.shard)
 	case peerpb.ResultStatus_REJECTED:
 		return rejected(q.record.statement(), result.Detail)
+	case peerpb.ResultStatus_UNREACHABLE:
+		if q.held && !a.shard.rechecked {
+			q.recheck(ctx, a)
+			return nil
+		}
 	case peerpb.ResultStatus_QUARANTINED:
 		return refuseCrashing(q.policy, q.record.statement(), errors.New(result.Detail))
 	case peerpb.ResultStatus_CRASHED:
@@ -181,7 +197,7 @@
 	}
 	q.fail(s, coverage.ReasonSnapshotGone)
 	if q.held {
-		q.nextCanary(ctx)
+		return q.nextCanary(ctx)
 	}
 	return nil
 }
@@ -194,8 +210,7 @@
 	s.lastError = reason
 	config := q.entry.config
 	if q.held {
-		q.retryCanary(ctx, s)
-		return nil
+		return q.retryCanary(ctx, s)
 	}
 	_, ok := q.next(s)
 	if !ok || config.Options.DisableRetries || !config.Selector.AllowRetry(serviceKey(q.policy.Team, q.policy.Service)) {
@@ -207,28 +222,37 @@
 	return nil
 }
 
-// retryCanary asks the canary's next replica, or another shard when the
-// canary's shard has none left. After a crash it asks another shard at once: a
-// request that crashes servers must not take down all replicas of one shard.
-func (q *query) retryCanary(ctx context.Context, s *shardState) {
-	_, ok := q.next(s)
-	if ok && s.lastError == coverage.ReasonCrashed {
-		q.sendCanary(ctx)
-		return
+// retryCanary asks another shard first. It does not ask another replica of the
+// same shard: a request that crashes servers must not take down a whole shard,
+// and every resend has to meet the same backend servers in the same order,
+// whether it finds them crashed or unreachable.
+func (q *query) retryCanary(ctx context.Context, s *shardState) error {
+	if _, ok := q.next(s); !ok {
+		q.fail(s, s.lastError)
+	}
+	return q.nextCanary(ctx)
+}
+
+// nextCanary asks another shard first, unless the query ends anyway.
+func (q *query) nextCanary(ctx context.Context) error {
+	if q.hopeless() {
+		return nil
 	}
-	if ok {
-		q.send(ctx, []*shardState{s}, false)
-		return
+	if err := q.admit(); err != nil {
+		return err
 	}
-	q.fail(s, s.lastError)
-	q.nextCanary(ctx)
+	q.sendCanary(ctx)
+	return nil
 }
 
-// nextCanary asks another shard first, unless the query ends anyway.
-func (q *query) nextCanary(ctx context.Context) {
-	if !q.hopeless() {
-		q.sendCanary(ctx)
+// admit refuses a request that other instances have meanwhile reported to crash
+// backend servers.
+func (q *query) admit() error {
+	err := q.entry.config.Guard.Admit(q.fingerprint, crashLimit(q.policy), q.now())
+	if err == nil {
+		return nil
 	}
+	return refuseCrashing(q.policy, q.record.statement(), err)
 }
 
 // settle ends a shard and cancels the streams that only its losing attempts
@@ -266,23 +290,24 @@
 
 // handleLostOwner sends the attempts of a broken stream to the next owner of
 // the same backend servers.
-func (q *query) handleLostOwner(ctx context.Context, d *dispatch, cause error) {
+func (q *query) handleLostOwner(ctx context.Context, d *dispatch, cause error) error {
 	if d.moot() || ctx.Err() != nil {
-		return
+		return nil
 	}
 	now := q.now()
 	q.entry.config.View.ReportCall(d.owner.ID, false, now)
 	q.entry.config.Metrics.Count("owners.lost", 1)
 	q.entry.config.Logger.DebugContext(ctx, "owner lost", "owner", d.owner.ID, "error", cause)
-	q.failOver(ctx, d, now)
+	return q.failOver(ctx, d, now)
 }
 
 // failOver moves the pending attempts of a dispatch to the next rank. Where
 // another attempt of the shard is running, only a hedge is moved: the other one
-// was already too slow.
-func (q *query) failOver(ctx context.Context, d *dispatch, now time.Time) {
+// was already too slow. The error ends the query.
+func (q *query) failOver(ctx context.Context, d *dispatch, now time.Time) error {
 	d.cancel()
 	groups := make(map[string]*dispatch)
+	var refused error
 	for _, a := range d.attempts {
 		if a.finished {
 			continue
@@ -291,22 +316,23 @@
 		if a.shard.done || (a.shard.running > 0 && !a.hedge) {
 			continue
 		}
-		q.moveAttempt(ctx, groups, a, d, now)
+		if err := q.moveAttempt(ctx, groups, a, d, now); err != nil {
+			refused = err
+		}
 	}
 	for _, next := range groups {
 		q.launch(ctx, next)
 	}
+	return refused
 }
 
-func (q *query) moveAttempt(ctx context.Context, groups map[string]*dispatch, a *attempt, from *dispatch, now time.Time) {
+func (q *query) moveAttempt(ctx context.Context, groups map[string]*dispatch, a *attempt, from *dispatch, now time.Time) error {
 	if !q.mayReceive(a.server) {
-		_ = q.retry(ctx, a.shard, coverage.ReasonDraining)
-		return
+		return q.retry(ctx, a.shard, coverage.ReasonDraining)
 	}
 	to, rank, ok := q.ownerAfter(a.server.ID, from, now)
 	if !ok {
-		_ = q.retry(ctx, a.shard, coverage.ReasonOwnerLost)
-		return
+		return q.retry(ctx, a.shard, coverage.ReasonOwnerLost)
 	}
 	next, ok := groups[to.ID]
 	if !ok {
@@ -314,4 +340,5 @@
 		groups[to.ID] = next
 	}
 	q.addAttempt(next, a.shard, a.server, now, a.hedge)
+	return nil
 }
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -44,21 +45,25 @@
 	}
 	s := q.byShard[q.entry.config.Guard.CanaryShard(q.fingerprint, candidates)]
 	s.canary = true
-	q.orderByFingerprint(s.replicas)
+	q.orderCanary(s.replicas)
+	if server, ok := q.next(s); ok {
+		q.canaryZones[server.Zone] = true
+	}
 	q.send(ctx, []*shardState{s}, false)
 }
 
-func (q *query) orderByFingerprint(replicas []membership.BackendServer) {
+// orderCanary orders replicas by the fingerprint, those of availability zones
+// that no earlier canary of this query was in first: crashes in one zone alone
+// may be a loss of that zone and do not prove the request's fault.
+func (q *query) orderCanary(replicas []membership.BackendServer) {
 	slices.SortFunc(replicas, func(a, b membership.BackendServer) int {
-		ha, hb := q.hash(a.ID), q.hash(b.ID)
-		switch {
-		case ha < hb:
-			return -1
-		case ha > hb:
+		if known, other := q.canaryZones[a.Zone], q.canaryZones[b.Zone]; known != other {
+			if other {
+				return -1
+			}
 			return 1
-		default:
-			return 0
 		}
+		return cmp.Compare(q.hash(a.ID), q.hash(b.ID))
 	})
 }
 
--- a/pkg/entry/shardstate.go
+++ b/pkg/entry/shardstate.go
@@ -17,6 +17,7 @@
 	done      bool                       // answered or failed
 	hedged    bool
 	canary    bool // was asked first for this query
+	rechecked bool // the canary was unreachable and is asked again
 	hits      []*peerpb.Hit
 	lastError coverage.Reason
 }
