--- a/pkg/fleet/caller.go
+++ b/pkg/fleet/caller.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode request")
 	}
-	address := f.members[number].spec.CallerAddress
+	address := f.members[number].currentSpec().CallerAddress
 	url := "http://" + address + "/v1/" + f.config.Spec.Team + "/" + request.Service + "/" + verb
 	post, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
 	if err != nil {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -130,7 +130,6 @@
 func (f *Fleet) newMember(number int) (*member, error) {
 	listeners, err := listen("", "", "")
 	if err != nil {
-		listeners.close()
 		return nil, err
 	}
 	zones := f.config.Spec.Zones
@@ -166,33 +165,6 @@
 	return nil
 }
 
-// PublishBundle publishes the next version of the bundle.
-func (f *Fleet) PublishBundle() error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	text, err := BundleText(f.Deployment.Spec, f.version+1)
-	if err != nil {
-		return eris.Wrap(err, "bundle")
-	}
-	signed, err := f.author.Publish(text)
-	if err != nil {
-		return eris.Wrap(err, "sign bundle")
-	}
-	if _, err := f.Deployment.PublishBundle(signed); err != nil {
-		return err
-	}
-	f.version++
-	f.Audit.Bundles.Published(f.version, time.Now())
-	return nil
-}
-
-// BundleVersion returns the version of the newest bundle.
-func (f *Fleet) BundleVersion() int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.version
-}
-
 // Size returns the number of instances.
 func (f *Fleet) Size() int { return f.config.Instances }
 
@@ -246,6 +218,22 @@
 	return f.publishInstances()
 }
 
+// Revive starts an instance that was killed or whose restart failed. It does
+// nothing when the instance runs.
+func (f *Fleet) Revive(ctx context.Context, number int) error {
+	f.restarts.Lock()
+	defer f.restarts.Unlock()
+	m := f.members[number]
+	if f.stopped || m.current() != nil {
+		return nil
+	}
+	m.setState(membership.StateLive)
+	if err := m.start(ctx, f.config.Start); err != nil {
+		return err
+	}
+	return f.publishInstances()
+}
+
 // Restarts returns how often an instance was restarted.
 func (f *Fleet) Restarts() int {
 	f.restarts.Lock()
@@ -260,6 +248,9 @@
 	return f.failure
 }
 
+// InstanceSpec returns what an instance was started with last.
+func (f *Fleet) InstanceSpec(number int) InstanceSpec { return f.members[number].currentSpec() }
+
 // Kill stops one instance at once; the platform's list keeps it.
 func (f *Fleet) Kill(number int) { f.members[number].kill() }
 
--- a/pkg/fleet/listeners.go
+++ b/pkg/fleet/listeners.go
@@ -14,9 +14,13 @@
 }
 
 // listen opens listeners on the addresses given; empty ones take free ports.
-func listen(caller, peer, operator string) (Listeners, error) {
-	var l Listeners
-	var err error
+// None stays open when the error is set.
+func listen(caller, peer, operator string) (l Listeners, err error) {
+	defer func() {
+		if err != nil {
+			l.close()
+		}
+	}()
 	if l.Caller, err = standin.Listen(caller); err != nil {
 		return l, err
 	}
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -12,12 +12,12 @@
 
 // member is one place in the fleet. Its instance changes at a restart.
 type member struct {
-	spec InstanceSpec
 	link *standin.PeerLink // set before start
 
 	started bool // starts and restarts don't overlap
 
 	mu       sync.Mutex
+	spec     InstanceSpec     // the addresses are guarded by mu
 	instance Instance         // guarded by mu; nil while stopped
 	state    membership.State // guarded by mu; in the platform's list
 }
@@ -41,14 +41,41 @@
 // openSpec returns the instance's specification with listeners that were opened
 // at first or, for a restart, anew on the same addresses.
 func (m *member) openSpec() (InstanceSpec, error) {
-	spec := m.spec
+	spec := m.currentSpec()
 	if !m.started {
 		m.started = true
 		return spec, nil
 	}
 	var err error
 	spec.Listeners, err = listen(spec.CallerAddress, spec.PeerAddress, spec.OperatorAddress)
-	return spec, err
+	if err == nil {
+		return spec, nil
+	}
+	return m.move()
+}
+
+// move gives the instance new addresses. Another process on the machine may
+// have taken an old one while the instance was down.
+func (m *member) move() (InstanceSpec, error) {
+	listeners, err := listen("", "", "")
+	if err != nil {
+		return InstanceSpec{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.spec.CallerAddress = listeners.Caller.Addr().String()
+	m.spec.PeerAddress = listeners.Peer.Addr().String()
+	m.spec.OperatorAddress = listeners.Operator.Addr().String()
+	m.link.SetTarget(m.spec.PeerAddress)
+	spec := m.spec
+	spec.Listeners = listeners
+	return spec, nil
+}
+
+func (m *member) currentSpec() InstanceSpec {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.spec
 }
 
 // listed returns the entry of the platform's list with the own peer address.
--- a/pkg/fleet/submission.go
+++ b/pkg/fleet/submission.go
@@ -11,22 +11,33 @@
 // submit takes a ticket and redeems it. Each instance asked gets the same
 // ticket, as a caller does that must not submit twice.
 func (f *Fleet) submit(ctx context.Context, request Request) Reply {
+	ticket, reply := f.Ticket(ctx, request)
+	if ticket == "" {
+		return reply
+	}
+	return f.Redeem(ctx, request, ticket)
+}
+
+// Ticket takes a ticket for a submission. Without one, the reply tells why.
+func (f *Fleet) Ticket(ctx context.Context, request Request) (string, Reply) {
 	raw, tries, err := f.ask(ctx, request, "tickets", ticketBody{Key: request.Key}, "")
 	if err != nil {
-		return Reply{Outcome: Failed, Reason: "ticket: " + err.Error(), Tries: tries}
+		return "", Reply{Outcome: Failed, Reason: "ticket: " + err.Error(), Tries: tries}
 	}
 	if refusal := raw.refusal(); refusal != nil {
 		f.record(request, refusal.RequestID, refusal.Run, "")
-		return Reply{Outcome: Refused, Refusal: refusal, Reason: refusal.Reason.Name(), Tries: tries}
+		return "", Reply{Outcome: Refused, Refusal: refusal, Reason: refusal.Reason.Name(), Tries: tries}
 	}
 	var issued ticketReply
 	if json.Unmarshal(raw.body, &issued) != nil || issued.Ticket == "" {
-		return Reply{Outcome: Failed, Reason: "reply is not a ticket", Tries: tries}
+		return "", Reply{Outcome: Failed, Reason: "reply is not a ticket", Tries: tries}
 	}
-	return f.redeem(ctx, request, issued.Ticket)
+	return issued.Ticket, Reply{}
 }
 
-func (f *Fleet) redeem(ctx context.Context, request Request, ticket string) Reply {
+// Redeem sends a submission with its ticket. A caller that got no clear reply
+// repeats it, through any instance, with the same request and ticket.
+func (f *Fleet) Redeem(ctx context.Context, request Request, ticket string) Reply {
 	body := submitBody{Key: request.Key, Payload: request.Payload}
 	raw, tries, err := f.ask(ctx, request, "submit", body, ticket)
 	if err != nil {
--- a/pkg/oracle/audit.go
+++ b/pkg/oracle/audit.go
@@ -115,7 +115,8 @@
 }
 
 // Finish compares what callers were told with what was executed. It is called
-// once, after the run.
+// while no request is in progress. After a call that found nothing it may be
+// called again.
 func (a *Audit) Finish() {
 	a.finishSearches()
 	a.finishSubmissions()
--- a/pkg/standin/backendserver.go
+++ b/pkg/standin/backendserver.go
@@ -95,8 +95,9 @@
 	return ""
 }
 
-// Restore brings a lost server back as a new incarnation on the same address.
-// It does nothing while the server runs.
+// Restore brings a lost server back as a new incarnation on the same address,
+// or on another one when a process has taken that port meanwhile. It does
+// nothing while the server runs.
 func (s *BackendServer) Restore() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,6 +105,9 @@
 		return nil
 	}
 	listener, err := Listen(s.address)
+	if err != nil && s.config.Member.Address == "" {
+		listener, err = Listen("")
+	}
 	if err != nil {
 		return eris.Wrapf(err, "backend server %s", s.config.Member.ID)
 	}
--- a/pkg/standin/peerlink.go
+++ b/pkg/standin/peerlink.go
@@ -21,10 +21,11 @@
 // cleartext connections only.
 type PeerLink struct {
 	network  *Network
-	to       membership.Instance // Address is the instance's own listener
+	to       membership.Instance // Address is the one that the link started with
 	listener net.Listener
 
 	mu     sync.Mutex
+	target string                // guarded by mu; the instance's own listener
 	open   map[net.Conn]struct{} // guarded by mu
 	closed bool                  // guarded by mu
 }
@@ -36,7 +37,7 @@
 		return nil, eris.Wrapf(err, "link to instance %s", to.ID)
 	}
 	n.Add(to)
-	link := &PeerLink{network: n, to: to, listener: listener, open: map[net.Conn]struct{}{}}
+	link := &PeerLink{network: n, to: to, target: to.Address, listener: listener, open: map[net.Conn]struct{}{}}
 	go link.accept()
 	return link, nil
 }
@@ -44,6 +45,20 @@
 // Address returns the address that other instances connect to.
 func (l *PeerLink) Address() string { return l.listener.Addr().String() }
 
+// SetTarget sets the address of the instance's own listener, for an instance
+// that has moved.
+func (l *PeerLink) SetTarget(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = address
+}
+
+func (l *PeerLink) targetAddress() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.target
+}
+
 // Stop closes the link and its connections.
 func (l *PeerLink) Stop() {
 	_ = l.listener.Close()
@@ -66,7 +81,7 @@
 }
 
 func (l *PeerLink) forward(from net.Conn) {
-	to, err := net.DialTimeout("tcp", l.to.Address, linkDialTimeout)
+	to, err := net.DialTimeout("tcp", l.targetAddress(), linkDialTimeout)
 	if err != nil {
 		resetConn(from)
 		return
