--- a/test/faults/faults_test.go
+++ b/test/faults/faults_test.go
@@ -25,8 +25,8 @@
 
 const (
 	fewestSteps = 5
-	mostSteps   = 10
-	mostFaults  = 2 // that begin in one step
+	mostSteps   = 12
+	mostFaults  = 3 // that begin in one step
 )
 
 // runSequence draws one sequence of steps and runs it on a new fleet.
--- a/test/faults/inject_test.go
+++ b/test/faults/inject_test.go
@@ -12,6 +12,7 @@
 
 const (
 	listLag        = time.Second // of the platform's list
+	drainGrace     = 2 * time.Second
 	indexOverlap   = 400 * time.Millisecond
 	stragglerSlow  = 20
 	crashRestart   = 300 * time.Millisecond
@@ -35,8 +36,8 @@
 	"publish-rivals":  func(s *system) { s.publish(2) },
 	"repartition":     (*system).repartition,
 	"drain":           (*system).drain,
-	"return":          (*system).returnServer,
-	"lose":            func(s *system) { s.server().Lose() },
+	"return":          (*system).returnServers,
+	"lose":            func(s *system) { each(s.someServers(), (*standin.BackendServer).Lose) },
 	"crash":           func(s *system) { s.server().Crash(crashRestart) },
 	"straggler":       func(s *system) { s.server().SetStraggler(stragglerSlow) },
 	"silence":         (*system).silence,
@@ -165,21 +166,21 @@
 	})
 }
 
-// drain makes a backend server leave. Where neither the platform's list nor
+// drain makes backend servers leave. Where neither the platform's list nor
 // other instances can tell everybody, it is left out.
 func (s *system) drain() {
-	server := s.server()
+	servers := s.someServers()
 	if s.unreadable || s.partitioned {
 		return
 	}
-	s.note("drain %s", server.ID())
-	server.Drain(standin.MaxDrainGrace)
+	s.note("drain %s and others", servers[0].ID())
+	each(servers, func(server *standin.BackendServer) { server.Drain(drainGrace) })
 	s.fleet.Deployment.PublishMembersAfter(listLag)
 }
 
-// returnServer restarts a server, as one that has drained comes back.
-func (s *system) returnServer() {
-	s.restore(s.server())
+// returnServers restarts servers, as those that have drained come back.
+func (s *system) returnServers() {
+	each(s.someServers(), s.restore)
 	s.fleet.Deployment.PublishMembersAfter(listLag)
 }
 
@@ -202,7 +203,14 @@
 		standin.ReplyLate, standin.ReplyTruncated, standin.ReplyCrossed, standin.ReplyOtherSnapshot,
 	}
 	kind := rapid.SampledFrom(kinds).Draw(s.rt, "reply")
-	s.server().SetReplyFault(&standin.ReplyFault{Kind: kind, Every: wrongReplyRate, Delay: lateReply})
+	fault := &standin.ReplyFault{Kind: kind, Every: wrongReplyRate, Delay: lateReply}
+	each(s.someServers(), func(server *standin.BackendServer) { server.SetReplyFault(fault) })
+}
+
+func each(servers []*standin.BackendServer, action func(*standin.BackendServer)) {
+	for _, server := range servers {
+		action(server)
+	}
 }
 
 // recoverServers ends all faults of backend servers but drains.
--- a/test/faults/system_test.go
+++ b/test/faults/system_test.go
@@ -133,13 +133,26 @@
 	})
 }
 
-// server draws a backend server of the main service or the submissions.
+// server draws a backend server.
 func (s *system) server() *standin.BackendServer {
 	services := s.fleet.Spec().Services
 	service := rapid.SampledFrom(services).Draw(s.rt, "service")
 	return rapid.SampledFrom(s.fleet.Deployment.ServersOf(service.Name)).Draw(s.rt, "server")
 }
 
+// someServers draws every third backend server of a service.
+func (s *system) someServers() []*standin.BackendServer {
+	service := rapid.SampledFrom(s.fleet.Spec().Services).Draw(s.rt, "service")
+	first := rapid.IntRange(0, 2).Draw(s.rt, "first")
+	var servers []*standin.BackendServer
+	for i, server := range s.fleet.Deployment.ServersOf(service.Name) {
+		if i%3 == first {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 func (s *system) instance() int {
 	return rapid.IntRange(0, s.fleet.Size()-1).Draw(s.rt, "instance")
 }
