State unknown for submissions to an instance that has shut down

Cause: a closed instance refused every request as not-run, also a resend whose earlier attempt had run. The new test fails without the change.

--- a/pkg/lifecycle/handler.go
+++ b/pkg/lifecycle/handler.go
@@ -25,7 +25,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		state, ok := l.enter()
 		if !ok {
-			refuse(w)
+			refuse(w, r)
 			return
 		}
 		// Deferred, so that a panic of the handler leaves the count right.
--- a/pkg/lifecycle/lifecycle_test.go
+++ b/pkg/lifecycle/lifecycle_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -133,3 +134,18 @@
 	}()
 	assert.Equal(t, m.InFlight(), 0)
 }
+
+// Guards against a resent submission that has run and is refused as "not run"
+// by an instance that has shut down.
+func TestClosedInstanceStatesRunTruly(t *testing.T) {
+	l := New(Config{})
+	assert.NilError(t, l.Drain(t.Context()))
+	for path, run := range map[string]string{
+		"/v1/office/renewal-search/search": `"run":"not-run"`,
+		"/v1/office/fee-ledger/submit":     `"run":"unknown"`,
+	} {
+		recorder := httptest.NewRecorder()
+		l.Handler(http.NotFoundHandler()).ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, nil))
+		assert.Assert(t, strings.Contains(recorder.Body.String(), run), "%s: %s", path, recorder.Body.String())
+	}
+}
