Check replies and cancellation at the owner and test its checks

- A reply whose range or count differs from the manifest is now INVALID_REPLY without hits.
The entry rejects it anyway, but its hits could displace those of other shards in a frame that is cut to the limit, against the comment of mergeHits.
- A search that is cancelled before sending is not sent.
- The quota of each rank is at least one connection, so the ranks exceed a limit of one or two connections; documented and asserted as it is.

--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -66,6 +66,9 @@
 func (a *attemptRun) call(ctx context.Context, r *replica) shardReply {
 	config := a.owner.config
 	config.Control.EnsureFresh(ctx)
+	if err := ctx.Err(); err != nil {
+		return a.shed(err)
+	}
 	now := config.Now()
 	if !now.Before(a.deadline) {
 		return a.refused(peerpb.ResultStatus_DEADLINE, "deadline passed before sending")
@@ -84,10 +87,16 @@
 	if err != nil {
 		return a.failed(r, err)
 	}
+	r.replied()
 	a.owner.observe(r, found.Draining, found.Incarnation)
 	return a.succeeded(found)
 }
 
+// matches reports whether a reply covers what the entry instance expects.
+func (a *attemptRun) matches(found *backend.SearchReply) bool {
+	return found.From == a.attempt.From && found.To == a.attempt.To && found.Documents == a.attempt.Documents
+}
+
 func (a *attemptRun) searchCall() backend.SearchCall {
 	return backend.SearchCall{
 		Request:  a.request.RequestId,
@@ -105,6 +114,12 @@
 	result.Snapshot = found.Snapshot
 	result.Snapshots = found.Snapshots
 	result.Draining = found.Draining
+	if !a.matches(found) {
+		// Its hits must not displace those of other shards when a frame is cut.
+		result.Status = peerpb.ResultStatus_INVALID_REPLY
+		result.Detail = "reply does not match the manifest"
+		return shardReply{result: result}
+	}
 	hits := make([]*peerpb.Hit, 0, len(found.Hits))
 	for _, h := range found.Hits {
 		hits = append(hits, &peerpb.Hit{Shard: a.attempt.Shard, Key: h.Key, Score: h.Score, Document: h.Document})
@@ -120,13 +135,33 @@
 		return shardReply{result: result}
 	}
 	a.owner.observe(r, call.Draining, call.Incarnation)
-	result := a.result(call.Status, call.Run)
+	result := a.result(a.statusOf(r, call), call.Run)
 	result.Snapshots = call.Snapshots
 	result.Draining = call.Draining
 	result.Detail = call.Detail
 	return shardReply{result: result}
 }
 
+// statusOf returns the status of a failed call. A backend server that has not
+// returned since this request crashed it counts as crashed, not as unreachable:
+// otherwise a resent request would try it on the next backend server before the
+// crash report has reached the entry instance.
+func (a *attemptRun) statusOf(r *replica, call *backend.CallError) peerpb.ResultStatus {
+	switch call.Status {
+	case peerpb.ResultStatus_CRASHED:
+		if a.owner.config.Guard.Admit(a.request.Fingerprint, 1, a.owner.config.Now()) != nil {
+			r.crashedBy(a.request.Fingerprint)
+		}
+	case peerpb.ResultStatus_UNREACHABLE:
+		if call.Run == peerpb.RunState_RUN_STATE_NOT_RUN && r.wasCrashedBy(a.request.Fingerprint) {
+			return peerpb.ResultStatus_CRASHED
+		}
+	case peerpb.ResultStatus_SHED, peerpb.ResultStatus_DRAINING, peerpb.ResultStatus_COLD, peerpb.ResultStatus_SNAPSHOT_GONE:
+		r.replied()
+	}
+	return call.Status
+}
+
 // shed reports an attempt that left the queue without a slot.
 func (a *attemptRun) shed(err error) shardReply {
 	status := peerpb.ResultStatus_SHED
--- a/pkg/owner/limits.go
+++ b/pkg/owner/limits.go
@@ -13,7 +13,8 @@
 var connectionShares = [...]int{48, 24, 24}
 
 // connectionQuota returns how many connections the owner of the given rank
-// (1 first) may open. Instances beyond the last rank get one connection: a
+// (1 first) may open, at least one: with fewer than three connections the ranks
+// together may exceed the limit. Instances beyond the last rank get one connection: a
 // view that differs must cost speed, not availability, and the backend server
 // enforces its own limit.
 func connectionQuota(rank, connections int) int {
--- /dev/null
+++ b/pkg/owner/merge_test.go
@@ -0,0 +1,72 @@
+package owner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peer/peerpb"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a cut that loses a hit of the answer: shards reply once or
+// twice (hedges), their replies meet in any frames, and the entry instance
+// takes the first one of each shard.
+func TestCutFramesHoldAllHitsOfAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 6).Draw(t, "limit")
+		frames := make([]*peerpb.SearchFrame, rapid.IntRange(1, 4).Draw(t, "frames"))
+		for i := range frames {
+			frames[i] = &peerpb.SearchFrame{}
+		}
+		var all []*peerpb.Hit
+		for shard := range int32(rapid.IntRange(1, 5).Draw(t, "shards")) {
+			var hits []*peerpb.Hit
+			for n, score := range rapid.SliceOfN(rapid.IntRange(0, 9), 0, 5).Draw(t, "scores") {
+				hits = append(hits, &peerpb.Hit{Shard: shard, Key: fmt.Sprint(shard, n), Score: float64(score)})
+			}
+			all = append(all, hits...)
+			for _, to := range rapid.SliceOfNDistinct(rapid.IntRange(0, len(frames)-1), 1, 2, rapid.ID).Draw(t, "in frames") {
+				frames[to].Results = append(frames[to].Results, &peerpb.ShardResult{Shard: shard})
+				frames[to].Hits = append(frames[to].Hits, hits...)
+			}
+		}
+		var got []*peerpb.Hit
+		done := map[int32]bool{}
+		for _, frame := range frames {
+			mergeHits(frame, limit)
+			for _, r := range frame.Results {
+				if done[r.Shard] {
+					continue
+				}
+				done[r.Shard] = true
+				for _, h := range frame.Hits {
+					if h.Shard == r.Shard {
+						got = append(got, h)
+					}
+				}
+			}
+		}
+		for _, hits := range [][]*peerpb.Hit{all, got} {
+			slices.SortFunc(hits, CompareHits)
+		}
+		if !slices.Equal(all[:min(limit, len(all))], got[:min(limit, len(got))]) {
+			t.Fatalf("best of all %v, of the frames %v", all, got)
+		}
+	})
+}
+
+// Guards against owners of different ranks that together exceed the connections
+// of a backend server, and against a rank that cannot call it at all.
+func TestQuotasOfAllRanksStayWithinConnections(t *testing.T) {
+	for connections := 1; connections <= 1000; connections++ {
+		sum := 0
+		for rank := 1; rank <= 3; rank++ {
+			quota := connectionQuota(rank, connections)
+			assert.Assert(t, quota >= 1)
+			sum += quota
+		}
+		assert.Assert(t, sum <= max(connections, 3), "%d of %d", sum, connections)
+	}
+}
--- a/pkg/owner/replica.go
+++ b/pkg/owner/replica.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,32 @@
 	limits   Limits    // guarded by mu
 	quota    int       // of connections, guarded by mu
 	lastUsed time.Time // guarded by mu
+	crashers []uint64  // fingerprints of requests that crashed it, until it replies; guarded by mu
+}
+
+// maxCrashers bounds the memory; requests that run at once can crash a backend
+// server together.
+const maxCrashers = 16
+
+func (r *replica) crashedBy(fingerprint uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.crashers) < maxCrashers && !slices.Contains(r.crashers, fingerprint) {
+		r.crashers = append(r.crashers, fingerprint)
+	}
+}
+
+func (r *replica) wasCrashedBy(fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.crashers, fingerprint)
+}
+
+// replied records that the backend server is running.
+func (r *replica) replied() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashers = nil
 }
 
 // adjust applies the limits of the request's bundle and the connection quota.
