--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -110,7 +110,7 @@
 	excluded := make(map[int64]bool)
 	run := &runRecord{}
 	for restarts := 0; ; restarts++ {
-		pinned, err := e.pin(policy, excluded)
+		pinned, err := e.pin(policy, excluded, run.statement())
 		if err != nil {
 			return nil, err
 		}
@@ -130,11 +130,12 @@
 	}
 }
 
-// pin chooses the snapshot of a query.
-func (e *Entry) pin(policy bundle.Policy, excluded map[int64]bool) (snapshot.Snapshot, error) {
+// pin chooses the snapshot of a query. The statement is that of a refusal: after
+// a restart, parts of the query may have run.
+func (e *Entry) pin(policy bundle.Policy, excluded map[int64]bool, run RunStatement) (snapshot.Snapshot, error) {
 	manifest, ok := e.config.Control.Manifest(policy.Team, policy.Service)
 	if !ok {
-		return snapshot.Snapshot{}, shortage(NotRun, ShortageIndexManifest, "no manifest of this service is known yet")
+		return snapshot.Snapshot{}, shortage(run, ShortageIndexManifest, "no manifest of this service is known yet")
 	}
 	now := e.config.Now()
 	replicas := func(shard int) []string {
@@ -147,7 +148,7 @@
 	}
 	pinned, ok := snapshot.Choose(manifest, replicas, e.config.Served, excluded, now)
 	if !ok {
-		return snapshot.Snapshot{}, shortage(NotRun, ShortageSnapshot, "no snapshot of the index is served")
+		return snapshot.Snapshot{}, shortage(run, ShortageSnapshot, "no snapshot of the index is served")
 	}
 	return pinned, nil
 }
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -68,6 +68,9 @@
 func (a *attemptRun) call(ctx context.Context, r *replica) shardReply {
 	config := a.owner.config
 	config.Control.EnsureFresh(ctx)
+	if err := ctx.Err(); err != nil {
+		return a.shed(err)
+	}
 	now := config.Now()
 	if !now.Before(a.deadline) {
 		return a.refused(peerpb.ResultStatus_DEADLINE, "deadline passed before sending")
@@ -91,6 +94,7 @@
 	if !a.matchesManifest(found) {
 		return a.mismatched(ctx, found)
 	}
+	r.replied()
 	return a.succeeded(found)
 }
 
@@ -161,13 +165,33 @@
 		return shardReply{result: result}
 	}
 	a.owner.observe(ctx, r, call.Draining, call.Incarnation)
-	result := a.result(call.Status, call.Run)
+	result := a.result(a.statusOf(r, call), call.Run)
 	result.Snapshots = call.Snapshots
 	result.Draining = call.Draining
 	result.Detail = call.Detail
 	return shardReply{result: result}
 }
 
+// statusOf returns the status of a failed call. A backend server that has not
+// returned since this request crashed it counts as crashed, not as unreachable:
+// otherwise a resent request would try it on the next backend server before the
+// crash report has reached the entry instance.
+func (a *attemptRun) statusOf(r *replica, call *backend.CallError) peerpb.ResultStatus {
+	switch call.Status {
+	case peerpb.ResultStatus_CRASHED:
+		if a.owner.config.Guard.Admit(a.request.Fingerprint, 1, a.owner.config.Now()) != nil {
+			r.crashedBy(a.request.Fingerprint)
+		}
+	case peerpb.ResultStatus_UNREACHABLE:
+		if call.Run == peerpb.RunState_RUN_STATE_NOT_RUN && r.wasCrashedBy(a.request.Fingerprint) {
+			return peerpb.ResultStatus_CRASHED
+		}
+	case peerpb.ResultStatus_SHED, peerpb.ResultStatus_DRAINING, peerpb.ResultStatus_COLD, peerpb.ResultStatus_SNAPSHOT_GONE:
+		r.replied()
+	}
+	return call.Status
+}
+
 // shed reports an attempt that left the queue without a slot.
 func (a *attemptRun) shed(err error) shardReply {
 	status := peerpb.ResultStatus_SHED
