--- a/pkg/oracle/bundlelog.go
+++ b/pkg/oracle/bundlelog.go
@@ -34,11 +34,17 @@
 }
 
 // Hide tells that instances can't read what is published from now on, because
-// the configuration service is down or stale.
-func (l *BundleLog) Hide() {
+// the configuration service is down or stale. What was published less than
+// BundleDelay ago may not have been read and is hidden too.
+func (l *BundleLog) Hide(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.hidden = true
+	for i := range l.published {
+		if at.Sub(l.published[i].at) < BundleDelay {
+			l.published[i].at = time.Time{}
+		}
+	}
 }
 
 // Show ends Hide: what was hidden counts as published at the given time.
