--- a/pkg/entry/poison_test.go
+++ b/pkg/entry/poison_test.go
@@ -199,8 +199,9 @@
 	}
 	for n := range 3 * sends {
 		e := entries[random.IntN(len(entries))]
+		wait := time.Duration(n*spacing/3+random.IntN(5)) * time.Millisecond
 		go func() {
-			time.Sleep(time.Duration(n*spacing/3+random.IntN(5)) * time.Millisecond)
+			time.Sleep(wait)
 			_, err := s.search(e, fmt.Sprint("q", n), innocent(n))
 			if err != nil {
 				report <- fmt.Sprintf("innocent request %d: %v", n, err)
