Walk through all faults in one order in the whole-system test

Cause: with independent draws no case of the default seed drained a server after which traffic followed, so a product that ignores drains passed.

--- a/test/faults/faults_test.go
+++ b/test/faults/faults_test.go
@@ -39,8 +39,17 @@
 	defer f.Stop()
 	s := newSystem(rt, f, seed)
 	defer s.stop()
+	// Walking through one order of all faults reaches most of them in a case;
+	// independent draws left out the drain in every case of the default seed.
+	order := rapid.Permutation(faultNames()).Draw(rt, "order")
+	next := 0
 	for range rapid.IntRange(fewestSteps, mostSteps).Draw(rt, "steps") {
-		s.step(rapid.SliceOfN(rapid.SampledFrom(faultNames()), 0, mostFaults).Draw(rt, "faults"))
+		var faults []string
+		for range rapid.IntRange(1, mostFaults).Draw(rt, "faults") {
+			faults = append(faults, order[next%len(order)])
+			next++
+		}
+		s.step(faults)
 		s.check()
 	}
 	s.linger()
