Remove the lifecycle's unused defaults

Cause: two exported defaults stood beside those of the settings, nothing used them, and the drain timeout said 35 s where the settings have 45 s.

--- a/pkg/lifecycle/config.go
+++ b/pkg/lifecycle/config.go
@@ -3,12 +3,6 @@
 import "time"
 
 const (
-	// DefaultLoadBalancerDelay is how long the platform's load balancer may
-	// send new requests after readiness has failed.
-	DefaultLoadBalancerDelay = 5 * time.Second
-	// DefaultDrainTimeout exceeds the redeem window of a ticket (30 s), so that
-	// every ticket is used or expired before it ends.
-	DefaultDrainTimeout = 35 * time.Second
 	// pollInterval is how often a drain looks for live tickets, which end by
 	// the passing of time as well as by redemptions.
 	pollInterval = 20 * time.Millisecond
