Serve the users' platform: forwarding core, adapter and deploy file

Cause: nothing of the project spoke the users' platform. The platform's requests are opaque and its store can only be read, so that the JSON search, tickets, canaries, manifests and the list of members have no place there.

Change: pkg/routing (table of a version), pkg/directory (listed backend servers), pkg/feed (follows the store), pkg/replicas (choice by replies), pkg/extras (shared bound on extra load without a coordinator), pkg/forward (attempts, hedges, partial answers), pkg/gateway (callers), pkg/relay (process); backend.Pool forwards opaque calls. platform/ holds names, formats and calls.

It is now stated when the connection is ready, and an attempt that nobody needs any more is not sent. Ruled out: the route's timeout, which is always longer.

--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -23,6 +23,9 @@
 	reader  *bufio.Reader
 	reused  bool      // at least one call has completed
 	lastUse time.Time // completion of the last call
+	// idleLimit is how long the server keeps the connection when it is idle; 0
+	// is not stated.
+	idleLimit time.Duration
 
 	// State of the running call.
 	progress  time.Duration
@@ -86,6 +89,9 @@
 // usable reports whether an idle connection can take a call: still open and
 // without unread bytes, which would be taken for the next call's reply.
 func (c *connection) usable() bool {
+	if c.idleLimit > 0 && time.Since(c.lastUse) >= c.idleLimit {
+		return false
+	}
 	return c.reader.Buffered() == 0 && isQuiet(c.raw)
 }
 
--- /dev/null
+++ b/pkg/forward/callerror.go
@@ -0,0 +1,19 @@
+package forward
+
+// CallError is an attempt without a usable reply.
+type CallError struct {
+	Sent   bool   // the request may have reached the backend server
+	Detail string // for logs
+	Cause  error
+}
+
+// Error names the detail and the cause.
+func (e *CallError) Error() string {
+	if e.Cause == nil {
+		return e.Detail
+	}
+	return e.Detail + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/pkg/forward/sender.go
@@ -0,0 +1,144 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/backend"
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection: a server that is gone does
+	// not answer, and a lost packet is repeated after 200 ms at the earliest.
+	dialTimeout = 450 * time.Millisecond
+	// idleTimeout is for servers that state none.
+	idleTimeout = 20 * time.Second
+	// maxReplyBytes bounds one reply.
+	maxReplyBytes = 4 << 20
+	// poolSweep is the interval at which pools of servers that are gone are closed.
+	poolSweep = 15 * time.Second
+	// poolIdle is how long a pool may be unused before that.
+	poolIdle = 60 * time.Second
+)
+
+// Codec writes requests and reads replies in the backend servers' protocol.
+type Codec interface {
+	// EncodeCall returns the whole request as it is written to the server. Left
+	// is the time until the attempt is given up.
+	EncodeCall(request *Request, server *directory.Server, left time.Duration) []byte
+	// Answers reports whether a reply with this header belongs to the request.
+	Answers(request *Request, header http.Header) bool
+	// DecodeReply reads what the server states about the run.
+	DecodeReply(status int, header http.Header, body []byte) *Reply
+}
+
+// Sender is the Caller over the network. It keeps a pool of connections for each
+// backend server process.
+type Sender struct {
+	codec  Codec
+	logger *slog.Logger
+
+	mu    sync.Mutex
+	pools map[string]*serverPool // by directory.Server.Key
+	swept time.Time
+}
+
+type serverPool struct {
+	pool        *backend.Pool
+	connections int
+	used        time.Time
+}
+
+// NewSender returns a sender without connections.
+func NewSender(codec Codec, logger *slog.Logger) *Sender {
+	return &Sender{codec: codec, logger: logger, pools: make(map[string]*serverPool), swept: time.Now()}
+}
+
+// Call implements Caller.
+func (s *Sender) Call(ctx context.Context, call Call) (*Reply, error) {
+	pool := s.pool(call)
+	deadline, _ := ctx.Deadline()
+	reply, err := pool.Forward(ctx, backend.ForwardCall{
+		Method: call.Request.Method,
+		Wire: func() []byte {
+			left := time.Until(deadline)
+			if left <= 0 || !call.Needed() {
+				return nil
+			}
+			return s.codec.EncodeCall(call.Request, call.Server, left)
+		},
+		Fresh:   call.Fresh,
+		Belongs: func(h http.Header) bool { return s.codec.Answers(call.Request, h) },
+	})
+	if err != nil {
+		return nil, callError(err)
+	}
+	return s.codec.DecodeReply(reply.Status, reply.Header, reply.Body), nil
+}
+
+func callError(err error) *CallError {
+	var failed *backend.ForwardError
+	if !errors.As(err, &failed) {
+		return &CallError{Sent: true, Detail: "call failed", Cause: err}
+	}
+	detail := failed.Detail
+	if failed.Reused {
+		detail += " (kept connection)"
+	}
+	return &CallError{Sent: failed.Sent, Detail: detail, Cause: failed.Cause}
+}
+
+func (s *Sender) pool(call Call) *backend.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.sweepLocked(now)
+	key := call.Server.Key()
+	known := s.pools[key]
+	if known == nil {
+		known = &serverPool{connections: call.Connections, pool: backend.NewPool(call.Server.BackendServer, backend.Options{
+			Connections:   call.Connections,
+			DialTimeout:   dialTimeout,
+			IdleTimeout:   idleTimeout,
+			MaxReplyBytes: maxReplyBytes,
+			Logger:        s.logger,
+		})}
+		s.pools[key] = known
+	}
+	known.used = now
+	if known.connections != call.Connections {
+		known.connections = call.Connections
+		known.pool.SetConnections(call.Connections)
+	}
+	return known.pool
+}
+
+func (s *Sender) sweepLocked(now time.Time) {
+	if now.Sub(s.swept) < poolSweep {
+		return
+	}
+	s.swept = now
+	for key, known := range s.pools {
+		if now.Sub(known.used) >= poolIdle {
+			known.pool.Close()
+			delete(s.pools, key)
+		}
+	}
+}
+
+// Connections returns the number of open connections to all servers.
+func (s *Sender) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := 0
+	for _, known := range s.pools {
+		open, _ := known.pool.Stats()
+		sum += open
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/gateway/exchange.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/forward"
+	"github.com/sycamorelift/sycamorelift/pkg/routing"
+)
+
+// exchange is one request with its answer, as it is recorded.
+type exchange struct {
+	ID       string
+	Method   string
+	Path     string
+	Arrived  time.Time
+	Patience time.Duration // stated by the caller
+	Table    *routing.Table
+	Route    *routing.Route
+	Answer   *forward.Answer
+	Status   int
+	Took     time.Duration
+}
+
+// outcome is the class of an exchange for metrics and logs.
+func (e *exchange) outcome() string {
+	a := e.Answer
+	late := e.Route != nil && e.Route.Target > 0 && e.Took > e.Route.Target
+	switch {
+	case a.Refusal != nil && a.Refusal.Reason == forward.CallerLeft:
+		return "left"
+	case a.Refusal != nil && a.Refusal.NotRun:
+		return "refused"
+	case a.Refusal != nil:
+		return "failed"
+	case a.Reply != nil && a.Reply.Status >= 400:
+		return "server_failure"
+	case late:
+		return "late"
+	case a.Merged != nil && a.Merged.Missing > 0:
+		return "partial"
+	default:
+		return "complete"
+	}
+}
--- /dev/null
+++ b/pkg/gateway/write.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/forward"
+)
+
+// write sends an answer and returns its status.
+func (g *Gateway) write(w http.ResponseWriter, answer *forward.Answer) int {
+	switch {
+	case answer.Reply != nil:
+		return g.writeReply(w, answer.Reply)
+	case answer.Merged != nil:
+		g.codec.Merged(w.Header(), answer.Merged)
+		w.Header().Set("Content-Type", "application/octet-stream")
+		return g.writeBody(w, http.StatusOK, answer.Merged.Body)
+	default:
+		return g.writeRefusal(w, answer.Refusal)
+	}
+}
+
+// writeReply passes a backend server's reply on unchanged.
+func (g *Gateway) writeReply(w http.ResponseWriter, reply *forward.Reply) int {
+	header := w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	if _, stated := header["Content-Type"]; !stated {
+		header["Content-Type"] = nil // net/http would guess one
+	}
+	if _, stated := header["Date"]; !stated {
+		header["Date"] = nil
+	}
+	return g.writeBody(w, reply.Status, reply.Body)
+}
+
+func (g *Gateway) writeBody(w http.ResponseWriter, status int, body []byte) int {
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	_, err := w.Write(body)
+	logWriteError(g.recorder.logger, "", err)
+	return status
+}
+
+func (g *Gateway) writeRefusal(w http.ResponseWriter, refusal *forward.Refusal) int {
+	status := refusalStatus(refusal)
+	if refusal.RetryAfter > 0 && refusal.NotRun {
+		w.Header().Set("Retry-After", formatSeconds(refusal.RetryAfter))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	return g.writeBody(w, status, []byte(string(refusal.Reason)+"\n"))
+}
+
+// refusalStatus maps a refusal to a status. 503 promises that the request has
+// not run, which 502 and 504 leave open.
+func refusalStatus(refusal *forward.Refusal) int {
+	switch {
+	case refusal.Reason == forward.NoRoute:
+		return http.StatusNotFound
+	case refusal.Reason == forward.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case refusal.Reason == forward.BadRequest:
+		return http.StatusBadRequest
+	case refusal.NotRun:
+		return http.StatusServiceUnavailable
+	case refusal.Reason == forward.TimedOut:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// formatSeconds writes a duration as seconds with milliseconds.
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- /dev/null
+++ b/pkg/relay/options.go
@@ -0,0 +1,26 @@
+package relay
+
+import (
+	"log/slog"
+
+	"github.com/sycamorelift/sycamorelift/pkg/feed"
+	"github.com/sycamorelift/sycamorelift/pkg/forward"
+	"github.com/sycamorelift/sycamorelift/pkg/gateway"
+	"github.com/sycamorelift/sycamorelift/pkg/settings"
+)
+
+// Codec is the protocol of callers and backend servers.
+type Codec interface {
+	forward.Codec
+	gateway.Codec
+}
+
+// Options are the parts that an instance is given. All are required.
+type Options struct {
+	Settings *settings.Relay
+	Source   feed.Source
+	Codec    Codec
+	Logger   *slog.Logger
+	// DroppedLogs returns the number of log records that were not written.
+	DroppedLogs func() int64
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+	"github.com/sycamorelift/sycamorelift/pkg/extras"
+	"github.com/sycamorelift/sycamorelift/pkg/feed"
+	"github.com/sycamorelift/sycamorelift/pkg/forward"
+	"github.com/sycamorelift/sycamorelift/pkg/gateway"
+	"github.com/sycamorelift/sycamorelift/pkg/lifecycle"
+	"github.com/sycamorelift/sycamorelift/pkg/replicas"
+	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
+)
+
+const (
+	// loadBalancerDelay is how long new connections still arrive after readiness
+	// has failed: two questions, one a second, and the delay of the first.
+	loadBalancerDelay = 2600 * time.Millisecond
+	// exitMargin of the grace period is kept for the end of the process.
+	exitMargin = 700 * time.Millisecond
+	// supervisorStop bounds the end of the supervised services.
+	supervisorStop = 200 * time.Millisecond
+	// assumedInstances share the budgets until the number of instances is known.
+	// It is above the size of today's deployments with all spare machines.
+	assumedInstances = 10
+	// readHeaderTimeout and maxHeaderBytes are beyond what tables allow callers;
+	// net/http cannot follow a table that changes.
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+// Relay is one instance.
+type Relay struct {
+	options   Options
+	logger    *slog.Logger
+	directory *directory.Directory
+	follower  *feed.Follower
+	sender    *forward.Sender
+	budget    *extras.Budget
+	lifecycle *lifecycle.Lifecycle
+	registry  *telemetry.Registry
+	servers   []*listener
+}
+
+// New builds an instance and opens its listeners.
+func New(options Options) (*Relay, error) {
+	s := options.Settings
+	r := &Relay{
+		options:  options,
+		logger:   options.Logger,
+		registry: telemetry.NewRegistry(s.Instance.ID),
+	}
+	r.directory = directory.New(s.Bounds.Drain, time.Now)
+	r.follower = feed.NewFollower(options.Source, r.directory, r.logger)
+	r.sender = forward.NewSender(options.Codec, r.logger)
+	r.budget = extras.New(extras.Limits{
+		Ratio:     s.Bounds.ExtraRatio,
+		Allowance: s.Bounds.ExtraAllowance,
+		Window:    s.Bounds.ExtraWindow,
+	}, r.instances)
+	r.lifecycle = lifecycle.New(lifecycle.Config{
+		LoadBalancerDelay: loadBalancerDelay,
+		DrainTimeout:      max(s.Bounds.Grace-loadBalancerDelay-exitMargin, 0),
+		OnDraining:        func() { r.logger.Info("draining", "in_flight", r.lifecycle.InFlight()) },
+	})
+	r.publish()
+	return r, r.listen()
+}
+
+// instances is the number of instances that share the budgets.
+func (r *Relay) instances() int { return assumedInstances }
+
+func (r *Relay) publish() {
+	r.registry.Func("table", func() any {
+		if table := r.follower.Table(); table != nil {
+			return map[string]int64{"version": table.Version(), "routes": int64(table.Routes())}
+		}
+		return nil
+	})
+	r.registry.Func("view_age_ms", func() any { return r.follower.Age().Milliseconds() })
+	r.registry.Func("backend_servers", func() any {
+		staying, leaving := r.directory.Count()
+		return map[string]int{"staying": staying, "leaving": leaving}
+	})
+	r.registry.Func("backend_connections", func() any { return r.sender.Connections() })
+	r.registry.Func("requests_in_flight", func() any { return r.lifecycle.InFlight() })
+	r.registry.Func("log_records_dropped", func() any { return r.options.DroppedLogs() })
+}
+
+func (r *Relay) listen() error {
+	s := r.options.Settings
+	engine := forward.New(forward.Config{
+		Directory: r.directory,
+		Tracker:   replicas.New(s.Instance.Zone),
+		Budget:    r.budget,
+		Caller:    r.sender,
+		Instances: r.instances,
+	})
+	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
+	callers := r.lifecycle.Handler(gateway.New(r.options.Codec, r.follower, engine, recorder))
+	idle := gateway.NewIdleCloser(r.idleTimeout)
+	return errors.Join(
+		r.add("operator", s.Listen.Operator, &http.Server{Handler: r.registry.Handler()}),
+		r.add("readiness", s.Listen.Readiness, &http.Server{Handler: r.lifecycle.Readiness()}),
+		r.add("caller", s.Listen.Caller, &http.Server{
+			Handler:                      callers,
+			ConnState:                    idle.ConnState,
+			ReadHeaderTimeout:            readHeaderTimeout,
+			MaxHeaderBytes:               maxHeaderBytes,
+			DisableGeneralOptionsHandler: true,
+		}),
+	)
+}
+
+func (r *Relay) idleTimeout() time.Duration {
+	if table := r.follower.Table(); table != nil {
+		return table.Limits().IdleTimeout
+	}
+	return 0
+}
+
+func (r *Relay) add(name, address string, server *http.Server) error {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s address", name)
+	}
+	server.ErrorLog = slog.NewLogLogger(r.logger.Handler(), slog.LevelDebug)
+	r.servers = append(r.servers, &listener{name: name, socket: socket, server: server})
+	return nil
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (r *Relay) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	supervisor := suture.New(r.options.Settings.Instance.ID, suture.Spec{EventHook: r.logEvent, Timeout: supervisorStop})
+	for _, l := range r.servers {
+		supervisor.Add(l)
+	}
+	supervisor.Add(r.follower)
+	finished := supervisor.ServeBackground(running)
+	r.logger.Info("started", "instance_zone", r.options.Settings.Instance.Zone)
+	select {
+	case <-r.follower.Ready():
+		r.lifecycle.SetReady()
+		r.logger.Info("ready", "table_version", r.follower.Table().Version())
+		<-ctx.Done()
+	case <-ctx.Done():
+	}
+	err := r.stop()
+	cancel()
+	<-finished
+	r.registry.Close()
+	r.logger.Info("stopped", "error", err)
+	return err
+}
+
+// stop answers the requests in flight and closes the callers' listener.
+func (r *Relay) stop() error {
+	err := r.lifecycle.Drain(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
+	defer cancel()
+	for _, l := range r.servers {
+		if l.name == "caller" {
+			err = errors.Join(err, l.shutdown(ctx))
+		}
+	}
+	return err
+}
+
+func (r *Relay) logEvent(event suture.Event) {
+	r.logger.Warn("supervisor event", "event", event.String())
+}
--- /dev/null
+++ b/pkg/replicas/choose.go
@@ -0,0 +1,83 @@
+package replicas
+
+import (
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+)
+
+const (
+	// remoteFactor weighs the links between availability zones, which are slow
+	// and priced by the byte.
+	remoteFactor = 1.6
+	// coldFactor is the slowness of a server that has just started.
+	coldFactor = 1.6
+	// faultFactor weighs the share of refused and failed attempts.
+	faultFactor = 4.0
+	// pausedPenalty and ejectedPenalty put such servers last, in that order.
+	pausedPenalty  = 100.0
+	ejectedPenalty = 10000.0
+)
+
+// Choice is a chosen server with what decided it, for logs.
+type Choice struct {
+	Server  *directory.Server
+	Score   float64 // lower is better; 1 is a usual idle server of this zone
+	Paused  bool    // it owes a reply for longer than usual
+	Ejected bool    // it failed several times in a row
+}
+
+// Choose returns the best candidate that is not excluded, or false. Candidates
+// with equal scores are taken in the order given.
+func (t *Tracker) Choose(candidates []*directory.Server, excluded func(id string) bool, now time.Time) (Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best Choice
+	found := false
+	for _, candidate := range candidates {
+		if excluded(candidate.ID) {
+			continue
+		}
+		choice := t.judgeLocked(candidate, now)
+		if !found || choice.Score < best.Score {
+			best, found = choice, true
+		}
+	}
+	return best, found
+}
+
+func (t *Tracker) judgeLocked(candidate *directory.Server, now time.Time) Choice {
+	known := t.serverLocked(candidate.Key(), now)
+	known.age(now)
+	c := Choice{Server: candidate}
+	slowness := known.slowness
+	if now.Before(candidate.WarmAt) {
+		slowness = max(slowness, coldFactor)
+	}
+	load := float64(len(known.running)) / float64(max(candidate.Capacity, 1))
+	c.Score = slowness * (1 + load) * (1 + faultFactor*known.faults)
+	if candidate.Zone != t.zone {
+		c.Score *= remoteFactor
+	}
+	if t.pausedLocked(known, now) {
+		c.Paused = true
+		c.Score += pausedPenalty
+	}
+	if now.Before(known.ejected) {
+		c.Ejected = true
+		c.Score += ejectedPenalty
+	}
+	return c
+}
+
+// pausedLocked reports whether the oldest running attempt takes much longer than
+// usual for its route and this server.
+func (t *Tracker) pausedLocked(s *server, now time.Time) bool {
+	if len(s.running) == 0 {
+		return false
+	}
+	oldest := s.running[0]
+	expected := float64(t.usual[oldest.route].get()) * max(s.slowness, 1)
+	limit := max(time.Duration(stallFactor*expected), shortestStall)
+	return now.Sub(oldest.began) > limit
+}
--- /dev/null
+++ b/pkg/replicas/server.go
@@ -0,0 +1,91 @@
+package replicas
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slownessWeight and faultWeight are the weights of a new sample.
+	slownessWeight = 0.25
+	faultWeight    = 0.2
+	// forgetHalfLife returns the view of a server to neutral, so that one that
+	// has recovered gets requests again.
+	forgetHalfLife = 3 * time.Second
+	// maxSlowness bounds what one sample can add.
+	maxSlowness = 20.0
+
+	// failuresToEject is the number of failures in a row that ejects a server.
+	failuresToEject = 2
+	// firstEjection doubles with each further one up to longestEjection. A server
+	// that has crashed is back after some seconds.
+	firstEjection   = 400 * time.Millisecond
+	longestEjection = 3200 * time.Millisecond
+)
+
+// server is what is known of one backend server process.
+type server struct {
+	running  []*Attempt // by start
+	slowness float64    // reply time over the usual one of the route; 1 is usual
+	faults   float64    // share of attempts refused or failed
+	updated  time.Time
+	seen     time.Time // last chosen among
+
+	failures  int // in a row
+	ejections int // in a row
+	ejected   time.Time
+}
+
+func newServer(now time.Time) *server { return &server{slowness: 1, updated: now, seen: now} }
+
+// age moves the estimates towards neutral.
+func (s *server) age(now time.Time) {
+	passed := now.Sub(s.updated)
+	if passed <= 0 {
+		return
+	}
+	weight := math.Exp2(-float64(passed) / float64(forgetHalfLife))
+	s.slowness = 1 + (s.slowness-1)*weight
+	s.faults *= weight
+	s.updated = now
+}
+
+func (s *server) recordSlowness(ratio float64) {
+	ratio = min(ratio, maxSlowness)
+	s.slowness += slownessWeight * (ratio - s.slowness)
+}
+
+func (s *server) recordFault(fault bool) {
+	sample := 0.0
+	if fault {
+		sample = 1
+	}
+	s.faults += faultWeight * (sample - s.faults)
+}
+
+func (s *server) fail(now time.Time) {
+	s.failures++
+	if s.failures < failuresToEject && s.ejections == 0 {
+		return
+	}
+	if now.Before(s.ejected) {
+		return
+	}
+	duration := firstEjection << min(s.ejections, 8)
+	s.ejected = now.Add(min(duration, longestEjection))
+	s.ejections++
+}
+
+func (s *server) succeed() {
+	s.failures = 0
+	s.ejections = 0
+}
+
+func (s *server) remove(a *Attempt) {
+	for i, other := range s.running {
+		if other == a {
+			s.running = append(s.running[:i], s.running[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,74 @@
+package routing
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is one version of all routes. It is immutable and safe for concurrent
+// use.
+type Table struct {
+	version  int64
+	byHost   map[string][]Route // longest prefix first
+	services map[string]Service
+	limits   Limits
+}
+
+// NewTable builds the table of a version. It takes over the slices.
+func NewTable(version int64, routes []Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		version:  version,
+		byHost:   make(map[string][]Route),
+		services: make(map[string]Service, len(services)),
+		limits:   limits,
+	}
+	for _, route := range routes {
+		host := strings.ToLower(route.Host)
+		t.byHost[host] = append(t.byHost[host], route)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, service := range services {
+		t.services[service.Name] = service
+	}
+	return t
+}
+
+// Version is the number that the operator gave to the table.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the bounds on callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns a service by its name.
+func (t *Table) Service(name string) (Service, bool) {
+	service, ok := t.services[name]
+	return service, ok
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, list := range t.byHost {
+		n += len(list)
+	}
+	return n
+}
+
+// Match returns the route with the longest prefix of the path among those of
+// the host, or nil. The port of the host is ignored.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	list := t.byHost[strings.ToLower(host)]
+	for i := range list {
+		if strings.HasPrefix(path, list[i].Prefix) {
+			return &list[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/settings/relay.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sycamorelift/sycamorelift/pkg/yamldoc"
+)
+
+// Relay are the settings of an instance that forwards opaque requests. They
+// name places and the platform's bounds; everything about requests is in the
+// published table.
+type Relay struct {
+	Instance Instance
+	Listen   RelayListen
+	Seeds    []string // peer addresses of instances that may be running
+	Store    string   // address of the platform's store, IP:port
+	Memory   int64    // bytes that the process may use
+	Bounds   RelayBounds
+}
+
+// RelayListen holds the addresses to listen on, each as IP:port.
+type RelayListen struct {
+	Caller    string
+	Readiness string
+	Peer      string // other instances
+	Operator  string // metrics, read-only
+}
+
+// RelayBounds are the platform's figures that the instance keeps to.
+type RelayBounds struct {
+	Drain          time.Duration // after the report of a drain a backend server still takes requests
+	Grace          time.Duration // from SIGTERM to SIGKILL
+	ExtraRatio     float64       // arrivals beyond the first, per request
+	ExtraAllowance float64       // arrivals beyond the first, of all instances in each window
+	ExtraWindow    time.Duration
+}
+
+// Ranges of the platform's figures.
+var (
+	boundRange     = durations(100*time.Millisecond, 10*time.Minute)
+	ratioRange     = yamldoc.Range[float64]{Min: 0, Max: 10}
+	allowanceRange = yamldoc.Range[float64]{Min: 0, Max: 1e6}
+	memoryRange    = yamldoc.Range[int]{Min: 32, Max: 1 << 20}
+)
+
+// LoadRelay reads and checks a settings file. The error is a finding.List with
+// everything that is wrong, unless the file can't be read.
+func LoadRelay(file string) (*Relay, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	return ParseRelay(file, data)
+}
+
+// ParseRelay is LoadRelay with the file's content.
+func ParseRelay(file string, data []byte) (*Relay, error) {
+	doc := yamldoc.Parse(file, data)
+	s := &Relay{}
+	s.read(doc.Root(""))
+	if err := doc.Findings().Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Relay) read(v yamldoc.Value) {
+	o := v.Object()
+	s.Instance.read(o.Required("instance"))
+	s.Listen.read(o.Required("listen"))
+	readAddress(o.Required("store"), &s.Store)
+	readSeeds(o.Optional("seeds"), &s.Seeds)
+	var megabytes int
+	o.Required("memory_mb").Int(&megabytes, memoryRange)
+	s.Memory = int64(megabytes) * mib
+	s.Bounds.read(o.Required("bounds"))
+	o.Close()
+}
+
+func (l *RelayListen) read(v yamldoc.Value) {
+	o := v.Object()
+	taken := map[string]string{}
+	readListener(o, "caller", &l.Caller, taken)
+	readListener(o, "readiness", &l.Readiness, taken)
+	readListener(o, "peer", &l.Peer, taken)
+	readListener(o, "operator", &l.Operator, taken)
+	o.Close()
+}
+
+func (b *RelayBounds) read(v yamldoc.Value) {
+	o := v.Object()
+	o.Required("drain").Duration(&b.Drain, boundRange)
+	o.Required("grace").Duration(&b.Grace, boundRange)
+	o.Required("extra_ratio").Float(&b.ExtraRatio, ratioRange)
+	o.Required("extra_allowance").Float(&b.ExtraAllowance, allowanceRange)
+	o.Required("extra_window").Duration(&b.ExtraWindow, boundRange)
+	o.Close()
+}
--- a/pkg/telemetry/logger.go
+++ b/pkg/telemetry/logger.go
@@ -18,6 +18,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.BoundRate {
+		handler = NewRateHandler(handler)
+	}
 	logger := slog.New(contextHandler{next: handler})
 	if options.InstanceID != "" {
 		logger = logger.With("instance", options.InstanceID)
--- a/pkg/telemetry/logoptions.go
+++ b/pkg/telemetry/logoptions.go
@@ -15,4 +15,6 @@
 	Level  string // debug, info, warn or error; empty is info
 	// InstanceID is added to every record when it is not empty.
 	InstanceID string
+	// BoundRate limits the records of each message, see NewRateHandler.
+	BoundRate bool
 }
