Ask the shards of other zones through an instance there

Ruled out: the single record route (its servers stand in all zones).

Change: instances find each other through the seeds (pkg/peering) and an instance of the servers' zone gathers the parts there and sends them merged. It accepts at once, so that a silent one is noticed within a third of the target; parts after the cutoff follow one by one. Connections are opened before they are needed.

A server whose address another one has taken answers 421; each such attempt counts as load on the other service. Such a server is now left out until the list corrects it. Ruled out: the budget's own count, which all six instances kept to. - a pause of 150 ms made a server look slow for seconds, so that half of the shards were asked in another zone; a sample now counts at most 4 times the estimate.

--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -138,6 +138,28 @@
 	return nil
 }
 
+// Warm opens a connection when there is none, so that the next call does not wait
+// for it.
+func (p *Pool) Warm(ctx context.Context) error {
+	p.mu.Lock()
+	if p.open > 0 || p.closed || p.limit <= 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	p.open++
+	p.mu.Unlock()
+	conn, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	conn.lastUse = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = append(p.idle, conn)
+	p.wakeLocked()
+	return nil
+}
+
 // release returns a connection whose call has completed.
 func (p *Pool) release(conn *connection) {
 	conn.reused = true
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -173,6 +173,19 @@
 	return now.Sub(server.LeavingSince) > d.lastResort
 }
 
+// InZone returns the staying servers of an availability zone.
+func (d *Directory) InZone(zone string) []*Server {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var out []*Server
+	for _, server := range d.byID {
+		if server.Zone == zone && !server.Leaving() {
+			out = append(out, server)
+		}
+	}
+	return out
+}
+
 // Count returns the number of servers that stay and of those that leave.
 func (d *Directory) Count() (staying, leaving int) {
 	d.mu.RLock()
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
+	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
@@ -258,3 +259,8 @@
 	case <-ctx.Done():
 	}
 }
+
+// ServeWatch placeholder.
+func (f *Follower) ServeWatch(ctx context.Context, m *peeringpb.WatchRequest) (*peeringpb.WatchReply, error) {
+	return nil, errors.New("not served")
+}
--- a/pkg/forward/absorb.go
+++ b/pkg/forward/absorb.go
@@ -45,16 +45,13 @@
 	t := Trouble{Server: res.server.ID, Took: time.Since(res.began)}
 	switch {
 	case res.reply == nil && !res.err.Sent:
-		// It reached no server, so it neither counts as an attempt nor as load.
-		l.arrivals--
-		if l.extras > 0 {
-			l.extras--
-			r.engine.budget.Return(l.service, time.Now())
-		}
+		r.unsend(l)
 		t.Event, t.Detail = "not sent", res.err.Error()
 	case res.reply == nil:
 		l.mayRun = true
 		t.Event, t.Detail = "no reply", res.err.Error()
+	case res.reply.Misplaced:
+		t.Event = "another server has the address"
 	case res.reply.NotRun:
 		t.Event = "refused by server"
 	default:
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -17,7 +17,15 @@
 	budget    *extras.Budget
 	weights   *routing.Weights
 	caller    Caller
-	instances func() int
+	zone      string
+	relays    Relays
+	sharing   Sharing
+}
+
+// Sharing tells how many instances share what a backend server accepts.
+type Sharing interface {
+	Count() int     // all instances
+	ZoneCount() int // instances of this availability zone
 }
 
 // Config is the input of New. All fields are required.
@@ -26,7 +34,9 @@
 	Tracker   *replicas.Tracker
 	Budget    *extras.Budget
 	Caller    Caller
-	Instances func() int // that share a server's connections
+	Zone      string // this instance's availability zone
+	Relays    Relays
+	Sharing   Sharing
 }
 
 // New returns an engine.
@@ -37,25 +47,42 @@
 		budget:    config.Budget,
 		weights:   routing.NewWeights(),
 		caller:    config.Caller,
-		instances: config.Instances,
+		zone:      config.Zone,
+		relays:    config.Relays,
+		sharing:   config.Sharing,
 	}
 }
 
 // Forward answers a request on a route of the table. It returns at once when ctx
 // ends because the caller has left.
 func (e *Engine) Forward(ctx context.Context, table *routing.Table, route *routing.Route, request *Request) *Answer {
-	r := newRun(e, table, route, request)
+	r := newRun(e, route, request, func(service string) int {
+		known, _ := table.Service(service)
+		return known.MaxConnections
+	})
 	defer r.release()
 	return r.answer(ctx)
 }
 
+// localConnectionShare of the connections that a server accepts is for the
+// instances of its own availability zone, which send it most of its requests.
+const localConnectionShare = 0.7
+
 // connections is this instance's share of the connections that a server accepts.
-func (e *Engine) connections(table *routing.Table, service string) int {
-	known, ok := table.Service(service)
-	if !ok || known.MaxConnections <= 0 {
-		return 1
+func (e *Engine) connections(accepted int, zone string) int {
+	local := e.sharing.ZoneCount()
+	share := localConnectionShare * float64(accepted) / float64(local)
+	if zone != e.zone {
+		others := max(e.sharing.Count()-local, 1)
+		share = (1 - localConnectionShare) * float64(accepted) / float64(others)
 	}
-	return max(known.MaxConnections/max(e.instances(), 1), 1)
+	return max(int(share), 1)
+}
+
+// Connections is the number of connections to a server that this instance may
+// hold; accepted is what the server accepts from all instances.
+func (e *Engine) Connections(accepted int, server *directory.Server) int {
+	return e.connections(accepted, server.Zone)
 }
 
 // services returns the services that a request needs, one per leg.
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -36,32 +36,115 @@
 	if !ok || why == hedge && (choice.Paused || choice.Ejected) {
 		return false
 	}
-	if l.arrivals > 0 {
-		if !r.engine.budget.Spend(l.service, now) {
-			r.trace.Denied++
-			r.trouble(l, Trouble{Event: "extra attempt denied by the budget"})
-			return false
+	extra := l.arrivals > 0 || r.paid
+	if extra && !r.paid && !r.spend(l, now) {
+		return false
+	}
+	if !extra && !l.counted {
+		l.counted = true
+		if zone, relay := r.relayFor(l, choice.Server, why); relay != nil {
+			r.enqueue(l, zone, relay, false, now)
+			return true
 		}
-		l.extras++
+		r.engine.budget.Request(l.service, now)
+	} else if zone, relay := r.relayFor(l, choice.Server, why); relay != nil && extra {
+		l.tried = append(l.tried, choice.Server.ID)
+		r.countExtra(l, why, relay.ID())
+		r.enqueue(l, zone, relay, true, now)
+		return true
 	}
 	r.begin(l, choice.Server, now)
+	r.countExtra(l, why, choice.Server.ID)
+	return true
+}
+
+// spend charges one more attempt of a leg to the budget.
+func (r *run) spend(l *leg, now time.Time) bool {
+	if !r.engine.budget.Spend(l.service, now) {
+		r.trace.Denied++
+		r.trouble(l, Trouble{Event: "extra attempt denied by the budget"})
+		return false
+	}
+	l.extras++
+	return true
+}
+
+// unsend takes back an attempt that has reached no server: it neither counts as
+// an attempt nor as load.
+func (r *run) unsend(l *leg) {
+	l.arrivals--
+	r.refund(l)
+}
+
+func (r *run) refund(l *leg) {
+	if l.extras > 0 {
+		l.extras--
+		r.engine.budget.Return(l.service, time.Now())
+	}
+}
+
+func (r *run) countExtra(l *leg, why purpose, target string) {
 	switch why {
 	case hedge:
 		r.trace.Hedges++
-		r.trouble(l, Trouble{Server: choice.Server.ID, Event: "hedged"})
+		r.trouble(l, Trouble{Server: target, Event: "hedged"})
 	case retry:
 		r.trace.Retries++
 	}
-	return true
+}
+
+// relayFor returns an instance near the server when the way there leads to
+// another zone. A relay's own first attempts are not relayed again, so that
+// differing views cannot send a request in circles.
+func (r *run) relayFor(l *leg, server *directory.Server, why purpose) (string, Relay) {
+	if !r.route.Sharded() || l.direct || r.relayed || server.Zone == r.engine.zone || why == retry {
+		return "", nil
+	}
+	zone := server.Zone
+	if why == first && r.relayZone != "" && hasServerIn(l.servers, r.relayZone) {
+		zone = r.relayZone
+	}
+	for _, g := range r.unsent {
+		if g.zone == zone {
+			return zone, g.relay
+		}
+	}
+	relay := r.engine.relays.Pick(zone)
+	if relay != nil && why == first && r.relayZone == "" {
+		// The other shards without a server here go the same way.
+		r.relayZone = zone
+	}
+	return zone, relay
+}
+
+func hasServerIn(servers []*directory.Server, zone string) bool {
+	for _, s := range servers {
+		if s.Zone == zone {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *run) mayLaunch(l *leg, why purpose, now time.Time) bool {
 	if !now.Before(r.timing.deadline) || l.arrivals >= max(r.route.MaxAttempts, 1) {
 		return false
 	}
+	if why != first && r.tooLate(now) {
+		return false
+	}
 	return why == first || r.route.Repeatable || !l.mayRun && l.running == 0
 }
 
+// tooLate reports whether a further attempt cannot be in the answer, because
+// that goes out before its reply can be there.
+func (r *run) tooLate(now time.Time) bool {
+	if !r.route.Sharded() || r.have < r.route.RequiredShards() {
+		return false
+	}
+	return now.Add(r.engine.usual(r.route) / 2).After(r.timing.cutoff)
+}
+
 // choose prefers servers that stay over those that leave.
 func (r *run) choose(l *leg, now time.Time) (replicas.Choice, bool) {
 	choice, ok := r.engine.tracker.Choose(l.servers, l.wasTried, now)
@@ -81,7 +164,7 @@
 	call := Call{
 		Request:     r.request,
 		Server:      server,
-		Connections: r.engine.connections(r.table, l.service),
+		Connections: r.engine.connections(r.maxConnections(l.service), server.Zone),
 		Fresh:       !r.route.Repeatable,
 		Needed:      func() bool { return !l.settled.Load() },
 	}
@@ -103,6 +186,8 @@
 
 func outcomeOf(reply *Reply, ended error) replicas.Outcome {
 	switch {
+	case reply != nil && reply.Misplaced:
+		return replicas.Misplaced
 	case reply != nil && reply.NotRun:
 		return replicas.Refused
 	case reply != nil && reply.Status < 500:
--- a/pkg/forward/leg.go
+++ b/pkg/forward/leg.go
@@ -22,8 +22,10 @@
 	last     time.Time // start of the latest attempt
 	reply    *Reply    // accepted
 	failure  *Reply    // a server's own failure, passed on when nothing better comes
+	counted  bool      // the request counts for the budget of the service
 	hedged   bool      // a hedge was tried, whether or not it was allowed
 	lost     bool      // no reply will come
+	direct   bool      // a relay has failed; servers are asked directly
 	// settled is set when no further attempt is needed; attempts that still wait
 	// for a connection read it.
 	settled atomic.Bool
--- /dev/null
+++ b/pkg/forward/parts.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/gather"
+	"github.com/sycamorelift/sycamorelift/pkg/routing"
+)
+
+// Gather answers another instance's call for parts and passes them to emit. It
+// returns false when ctx ends before the final result.
+func (e *Engine) Gather(ctx context.Context, call *PartsCall, emit func(*PartsResult)) bool {
+	route := &routing.Route{
+		Name:        call.Route,
+		Repeatable:  true,
+		Target:      call.Target,
+		Priority:    call.Priority,
+		MaxAttempts: call.MaxAttempts,
+		Shards:      call.Services,
+		Top:         call.Top,
+	}
+	connections := make(map[string]int, len(call.Services))
+	for i, service := range call.Services {
+		if i < len(call.MaxConnections) {
+			connections[service] = call.MaxConnections[i]
+		}
+	}
+	r := newRun(e, route, call.Request, func(service string) int { return connections[service] })
+	defer r.release()
+	defer r.settle()
+	r.relayed = true
+	r.paid = call.Extra
+	r.timing.deadline = call.Deadline
+	r.timing.cutoff = call.Cutoff
+	if !call.Cutoff.After(time.Now()) {
+		r.timing.cutoff = call.Deadline
+	}
+	g := &gathering{run: r, call: call, emit: emit, sent: make([]bool, len(r.legs))}
+	return r.loop(ctx, g.step)
+}
+
+// gathering sends the parts of a run to the instance that has asked for them.
+type gathering struct {
+	run  *run
+	call *PartsCall
+	emit func(*PartsResult)
+	sent []bool // by leg
+	cut  bool   // the cutoff has passed, so that parts no longer wait for each other
+}
+
+// step sends what is due and reports whether that was all. Parts that are merged
+// wait for each other until the cutoff; all others are sent as they come.
+func (g *gathering) step(now time.Time) bool {
+	r := g.run
+	ended := !now.Before(r.timing.deadline)
+	final := ended || r.have+r.lost == len(r.legs)
+	merge := g.call.Merge && !g.cut
+	cutNow := merge && !now.Before(r.timing.cutoff)
+	if merge && !final && !cutNow {
+		return false
+	}
+	g.cut = g.cut || cutNow
+	result := g.collect(merge)
+	if final {
+		g.finish(result)
+	}
+	if final || len(result.Parts) > 0 {
+		g.emit(result)
+	}
+	return final
+}
+
+// collect takes the parts that have not been sent yet.
+func (g *gathering) collect(merge bool) *PartsResult {
+	result := &PartsResult{}
+	var bodies [][]byte
+	for i, l := range g.run.legs {
+		if l.reply == nil || g.sent[i] {
+			continue
+		}
+		g.sent[i] = true
+		part := Part{Index: i, Proof: l.reply.Proof}
+		if merge {
+			bodies = append(bodies, l.reply.Body)
+		} else {
+			part.Body = gather.Merge([][]byte{l.reply.Body}, g.call.Top)
+		}
+		result.Parts = append(result.Parts, part)
+	}
+	if merge {
+		result.Body = gather.Merge(bodies, g.call.Top)
+	}
+	return result
+}
+
+func (g *gathering) finish(result *PartsResult) {
+	r := g.run
+	result.Final = true
+	result.Attempts, result.Hedges, result.Retries = r.trace.Attempts, r.trace.Hedges, r.trace.Retries
+	for i, l := range r.legs {
+		if l.reply != nil {
+			continue
+		}
+		lost := LostPart{Index: i, Arrivals: l.arrivals, MayRun: l.mayRun || l.running > 0, Event: "still running"}
+		if l.lost {
+			lost.Event = "no backend server answered"
+		}
+		result.Lost = append(result.Lost, lost)
+	}
+}
--- a/pkg/forward/reply.go
+++ b/pkg/forward/reply.go
@@ -9,6 +9,9 @@
 	Body   []byte
 	Proof  string // by which the caller knows that the server has run the request
 	NotRun bool   // the server states that it has not run the request
+	// Misplaced states that another server than the one asked for has the address;
+	// NotRun is set too.
+	Misplaced bool
 }
 
 // success reports whether the reply holds a proven result.
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -8,40 +8,52 @@
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
+// groupEventsPerLeg bounds the events of groups: each leg is in at most one first
+// group and one hedge, and each has its acceptance, one result a leg and its end.
+const groupEventsPerLeg = 6
+
 // run is one request on its way. All fields but pending are used by the
 // request's goroutine alone.
 type run struct {
-	engine  *Engine
-	table   *routing.Table
-	route   *routing.Route
-	request *Request
-	timing  timing
-	legs    []*leg
-	trace   Trace
+	engine *Engine
+	route  *routing.Route
+	// maxConnections is the number of connections that a server of a service
+	// accepts from all instances.
+	maxConnections func(service string) int
+	relayed        bool // on behalf of another instance; nothing is relayed again at first
+	paid           bool // each attempt is beyond the first and paid for by the sender
+	request        *Request
+	timing         timing
+	legs           []*leg
+	trace          Trace
 
 	ctx     context.Context // of the attempts
 	cancel  context.CancelFunc
 	pending atomic.Int32 // the request itself and its running attempts
 	results chan result  // has room for all attempts, so that none waits
 
+	unsent      []*group
+	groups      []*group
+	groupEvents chan groupEvent // has room for all events
+	merged      [][]byte        // bodies of the groups' parts
+	relayZone   string          // for legs without a server in this zone
+
 	have int // legs with a reply
 	lost int
 }
 
-func newRun(e *Engine, table *routing.Table, route *routing.Route, request *Request) *run {
+func newRun(e *Engine, route *routing.Route, request *Request, maxConnections func(string) int) *run {
 	services := e.services(route)
 	r := &run{
-		engine:  e,
-		table:   table,
-		route:   route,
-		request: request,
-		timing:  newTiming(route, request, e.usual(route)),
-		legs:    make([]*leg, len(services)),
+		engine:         e,
+		route:          route,
+		maxConnections: maxConnections,
+		request:        request,
+		timing:         newTiming(route, request, e.usual(route)),
+		legs:           make([]*leg, len(services)),
 	}
 	capacity := 0
-	now := time.Now()
 	for i, service := range services {
-		e.budget.Request(service, now)
 		servers := e.directory.Servers(service)
 		r.legs[i] = &leg{index: i, service: service, servers: servers}
 		capacity += len(servers)
@@ -52,6 +64,7 @@
 		r.trace.Service = services[0]
 	}
 	r.results = make(chan result, capacity)
+	r.groupEvents = make(chan groupEvent, groupEventsPerLeg*len(services))
 	// Attempts outlive the answer: one that lost against a hedge ends normally,
 	// which keeps its connection and shows how long the server took.
 	r.ctx, r.cancel = context.WithDeadline(context.Background(), r.timing.deadline)
@@ -69,6 +82,22 @@
 
 // answer waits for the end of the request.
 func (r *run) answer(ctx context.Context) *Answer {
+	defer r.settle()
+	var answer *Answer
+	done := func(now time.Time) bool {
+		answer = r.verdict(now)
+		return answer != nil
+	}
+	if !r.loop(ctx, done) {
+		answer = &Answer{Refusal: &Refusal{Reason: CallerLeft}}
+	}
+	answer.Trace = r.finishTrace()
+	return answer
+}
+
+// loop starts the first attempts and follows them until done, which is asked
+// after each event. It returns false when ctx ends before; all attempts then end.
+func (r *run) loop(ctx context.Context, done func(now time.Time) bool) bool {
 	for _, l := range r.legs {
 		if !r.launch(l, first) {
 			r.lose(l)
@@ -76,24 +105,27 @@
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	defer r.settle()
 	for {
+		r.sendGroups()
 		now := time.Now()
-		if answer := r.verdict(now); answer != nil {
-			answer.Trace = r.finishTrace()
-			return answer
+		if done(now) {
+			return true
 		}
 		timer.Reset(r.nextEvent(now).Sub(now))
 		select {
 		case res := <-r.results:
 			r.absorb(res)
 			r.absorbReady()
+		case e := <-r.groupEvents:
+			r.absorbGroup(e)
 		case <-timer.C:
 		case <-ctx.Done():
 			r.cancel()
-			return &Answer{Refusal: &Refusal{Reason: CallerLeft}, Trace: r.finishTrace()}
+			return false
 		}
-		r.hedge(time.Now())
+		now = time.Now()
+		r.giveUpGroups(now)
+		r.hedge(now)
 	}
 }
 
@@ -126,6 +158,11 @@
 	if !r.route.Repeatable {
 		return next
 	}
+	for _, g := range r.groups {
+		if due := r.acceptBy(g); !g.ended && !g.accepted && due.Before(next) {
+			next = due
+		}
+	}
 	for _, l := range r.legs {
 		if l.decided() || l.hedged {
 			continue
--- a/pkg/forward/sender.go
+++ b/pkg/forward/sender.go
@@ -61,7 +61,7 @@
 
 // Call implements Caller.
 func (s *Sender) Call(ctx context.Context, call Call) (*Reply, error) {
-	pool := s.pool(call)
+	pool := s.pool(call.Server, call.Connections)
 	deadline, _ := ctx.Deadline()
 	reply, err := pool.Forward(ctx, backend.ForwardCall{
 		Method: call.Request.Method,
@@ -93,16 +93,21 @@
 	return &CallError{Sent: failed.Sent, Detail: detail, Cause: failed.Cause}
 }
 
-func (s *Sender) pool(call Call) *backend.Pool {
+// Warm opens a connection to a server unless there is one.
+func (s *Sender) Warm(ctx context.Context, server *directory.Server, connections int) error {
+	return s.pool(server, connections).Warm(ctx)
+}
+
+func (s *Sender) pool(server *directory.Server, connections int) *backend.Pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.sweepLocked(now)
-	key := call.Server.Key()
+	key := server.Key()
 	known := s.pools[key]
 	if known == nil {
-		known = &serverPool{connections: call.Connections, pool: backend.NewPool(call.Server.BackendServer, backend.Options{
-			Connections:   call.Connections,
+		known = &serverPool{connections: connections, pool: backend.NewPool(server.BackendServer, backend.Options{
+			Connections:   connections,
 			DialTimeout:   dialTimeout,
 			IdleTimeout:   idleTimeout,
 			MaxReplyBytes: maxReplyBytes,
@@ -111,9 +116,9 @@
 		s.pools[key] = known
 	}
 	known.used = now
-	if known.connections != call.Connections {
-		known.connections = call.Connections
-		known.pool.SetConnections(call.Connections)
+	if known.connections != connections {
+		known.connections = connections
+		known.pool.SetConnections(connections)
 	}
 	return known.pool
 }
--- a/pkg/forward/trace.go
+++ b/pkg/forward/trace.go
@@ -14,6 +14,7 @@
 	Attempts int      // requests that were sent to backend servers
 	Hedges   int      // of them because a server was slow
 	Retries  int      // of them because a server failed or refused
+	Relayed  int      // shards that were asked for at another instance
 	Denied   int      // hedges and retries that the budget did not allow
 	Troubles []Trouble
 	Dropped  int // troubles beyond maxTroubles
--- a/pkg/forward/verdict.go
+++ b/pkg/forward/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/gather"
@@ -58,7 +59,7 @@
 
 func (r *run) merge() *Merged {
 	m := &Merged{Missing: len(r.legs) - r.have}
-	bodies := make([][]byte, 0, r.have)
+	bodies := slices.Clone(r.merged)
 	for _, l := range r.legs {
 		if l.reply == nil {
 			continue
--- a/pkg/gateway/recorder.go
+++ b/pkg/gateway/recorder.go
@@ -71,6 +71,9 @@
 			attrs = append(attrs, slog.Any("missing", t.Missing))
 		}
 	}
+	if t.Relayed > 0 {
+		attrs = append(attrs, slog.Int("relayed", t.Relayed))
+	}
 	if t.Hedges+t.Retries+t.Denied > 0 {
 		attrs = append(attrs, slog.Int("hedges", t.Hedges), slog.Int("retries", t.Retries), slog.Int("denied", t.Denied))
 	}
--- /dev/null
+++ b/pkg/peering/exchanger.go
@@ -0,0 +1,110 @@
+package peering
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
+)
+
+const (
+	// exchangeInterval is the pause between two exchanges of one instance.
+	exchangeInterval = 500 * time.Millisecond
+	// exchangeTimeout bounds one exchange, a lost packet included.
+	exchangeTimeout = 600 * time.Millisecond
+	// seedChance is the chance that an exchange asks a seed, so that two groups of
+	// instances that have lost each other find together again.
+	seedChance = 0.05
+)
+
+// Exchanger spreads news among the instances.
+type Exchanger struct {
+	members *Members
+	client  *Client
+	seeds   func() []string // peer addresses
+}
+
+// NewExchanger returns an exchanger.
+func NewExchanger(members *Members, client *Client, seeds func() []string) *Exchanger {
+	return &Exchanger{members: members, client: client, seeds: seeds}
+}
+
+// Serve exchanges until ctx ends. It implements suture.Service.
+func (e *Exchanger) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		e.step(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// String names the service in the supervisor's log.
+func (e *Exchanger) String() string { return "exchanger" }
+
+func (e *Exchanger) step(ctx context.Context) {
+	for _, target := range e.targets() {
+		e.exchange(ctx, target)
+	}
+}
+
+// targets prefers this availability zone, where bytes are free. One instance of
+// each zone in the mean also asks one of another zone.
+func (e *Exchanger) targets() []Member {
+	self := e.members.Self()
+	var local, remote []Member
+	for _, m := range e.members.Usable("") {
+		if m.Zone == self.Zone {
+			local = append(local, m)
+		} else {
+			remote = append(remote, m)
+		}
+	}
+	var out []Member
+	if len(local) > 0 {
+		out = append(out, local[rand.IntN(len(local))])
+	}
+	if len(remote) > 0 && rand.IntN(len(local)+1) == 0 {
+		out = append(out, remote[rand.IntN(len(remote))])
+	}
+	if seeds := e.seeds(); len(seeds) > 0 && (len(out) == 0 || rand.Float64() < seedChance) {
+		if seed := seeds[rand.IntN(len(seeds))]; seed != self.Address {
+			out = append(out, Member{Address: seed})
+		}
+	}
+	return out
+}
+
+func (e *Exchanger) exchange(ctx context.Context, target Member) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := e.client.Exchange(ctx, target.Address, e.message())
+	if target.ID != "" {
+		e.members.Report(target.ID, err == nil)
+	}
+	if err == nil {
+		e.Take(reply)
+	}
+}
+
+func (e *Exchanger) message() *peeringpb.ExchangeMessage {
+	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().message(0)}
+	members, ages := e.members.Listed()
+	for i, member := range members {
+		m.Members = append(m.Members, member.message(ages[i]))
+	}
+	return m
+}
+
+// Take takes over the news of a message.
+func (e *Exchanger) Take(m *peeringpb.ExchangeMessage) {
+	e.members.Heard(memberOf(m.GetSender()))
+	for _, member := range m.GetMembers() {
+		e.members.Learn(memberOf(member), time.Duration(member.GetAgeMs())*time.Millisecond)
+	}
+}
--- /dev/null
+++ b/pkg/peering/relays.go
@@ -0,0 +1,180 @@
+package peering
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/forward"
+	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
+)
+
+// Relays implements forward.Relays with the known members.
+type Relays struct {
+	members *Members
+	client  *Client
+
+	mu      sync.Mutex
+	running map[string]int // calls in progress by member id
+}
+
+// NewRelays returns relays over the members.
+func NewRelays(members *Members, client *Client) *Relays {
+	return &Relays{members: members, client: client, running: make(map[string]int)}
+}
+
+// Pick returns the less busy of two random members of the zone.
+func (r *Relays) Pick(zone string) forward.Relay {
+	usable := r.members.Usable(zone)
+	if len(usable) == 0 {
+		return nil
+	}
+	a, b := usable[rand.IntN(len(usable))], usable[rand.IntN(len(usable))]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running[b.ID] < r.running[a.ID] {
+		a = b
+	}
+	return &relay{relays: r, member: a}
+}
+
+func (r *Relays) count(id string, change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[id] += change
+	if r.running[id] <= 0 {
+		delete(r.running, id)
+	}
+}
+
+// relay implements forward.Relay.
+type relay struct {
+	relays *Relays
+	member Member
+}
+
+func (r *relay) ID() string { return r.member.ID }
+
+func (r *relay) Failed() { r.relays.members.Report(r.member.ID, false) }
+
+func (r *relay) Gather(ctx context.Context, call *forward.PartsCall, accepted func(), receive func(*forward.PartsResult)) error {
+	r.relays.count(r.member.ID, 1)
+	defer r.relays.count(r.member.ID, -1)
+	working := func() {
+		r.relays.members.Report(r.member.ID, true)
+		accepted()
+	}
+	err := r.relays.client.Parts(ctx, r.member.Address, partsRequest(call, time.Now()), working, func(reply *peeringpb.PartsReply) {
+		receive(partsResult(reply))
+	})
+	if err != nil && ctx.Err() == nil {
+		r.Failed()
+	}
+	return err
+}
+
+func partsRequest(call *forward.PartsCall, now time.Time) *peeringpb.PartsRequest {
+	request := call.Request
+	m := &peeringpb.PartsRequest{
+		RequestId:   request.ID,
+		Method:      request.Method,
+		Target:      request.Target,
+		Host:        request.Host,
+		Body:        request.Body,
+		Services:    call.Services,
+		Route:       call.Route,
+		Top:         uint32(call.Top),
+		MaxAttempts: uint32(call.MaxAttempts),
+		TargetMs:    millisecondsOf(call.Target),
+		CutoffMs:    millisecondsOf(call.Cutoff.Sub(now)),
+		DeadlineMs:  millisecondsOf(call.Deadline.Sub(now)),
+		Priority:    int32(call.Priority),
+		Extra:       call.Extra,
+		Merge:       call.Merge,
+	}
+	for name, values := range request.Header {
+		for _, value := range values {
+			m.Header = append(m.Header, &peeringpb.HeaderField{Name: name, Value: value})
+		}
+	}
+	for _, n := range call.MaxConnections {
+		m.Connections = append(m.Connections, uint32(max(n, 0)))
+	}
+	return m
+}
+
+func partsCall(m *peeringpb.PartsRequest, now time.Time) *forward.PartsCall {
+	header := make(http.Header, len(m.GetHeader()))
+	for _, field := range m.GetHeader() {
+		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
+	}
+	deadline := now.Add(duration(m.GetDeadlineMs()))
+	call := &forward.PartsCall{
+		Request: &forward.Request{
+			ID:       m.GetRequestId(),
+			Method:   m.GetMethod(),
+			Target:   m.GetTarget(),
+			Host:     m.GetHost(),
+			Header:   header,
+			Body:     m.GetBody(),
+			Arrived:  now,
+			Deadline: deadline,
+		},
+		Route:       m.GetRoute(),
+		Services:    m.GetServices(),
+		Top:         int(m.GetTop()),
+		MaxAttempts: int(m.GetMaxAttempts()),
+		Priority:    int(m.GetPriority()),
+		Target:      duration(m.GetTargetMs()),
+		Cutoff:      now.Add(duration(m.GetCutoffMs())),
+		Deadline:    deadline,
+		Extra:       m.GetExtra(),
+		Merge:       m.GetMerge(),
+	}
+	for _, n := range m.GetConnections() {
+		call.MaxConnections = append(call.MaxConnections, int(n))
+	}
+	return call
+}
+
+func partsReply(result *forward.PartsResult) *peeringpb.PartsReply {
+	m := &peeringpb.PartsReply{
+		Final:    result.Final,
+		Body:     result.Body,
+		Attempts: uint32(result.Attempts),
+		Hedges:   uint32(result.Hedges),
+		Retries:  uint32(result.Retries),
+	}
+	for _, p := range result.Parts {
+		m.Parts = append(m.Parts, &peeringpb.Part{Index: uint32(p.Index), Proof: p.Proof, Body: p.Body})
+	}
+	for _, l := range result.Lost {
+		m.Lost = append(m.Lost, &peeringpb.Lost{Index: uint32(l.Index), Arrivals: uint32(max(l.Arrivals, 0)), MayRun: l.MayRun, Event: l.Event})
+	}
+	return m
+}
+
+func partsResult(m *peeringpb.PartsReply) *forward.PartsResult {
+	result := &forward.PartsResult{
+		Final:    m.GetFinal(),
+		Body:     m.GetBody(),
+		Attempts: int(m.GetAttempts()),
+		Hedges:   int(m.GetHedges()),
+		Retries:  int(m.GetRetries()),
+	}
+	for _, p := range m.GetParts() {
+		result.Parts = append(result.Parts, forward.Part{Index: int(p.GetIndex()), Proof: p.GetProof(), Body: p.GetBody()})
+	}
+	for _, l := range m.GetLost() {
+		result.Lost = append(result.Lost, forward.LostPart{
+			Index: int(l.GetIndex()), Arrivals: int(l.GetArrivals()), MayRun: l.GetMayRun(), Event: l.GetEvent(),
+		})
+	}
+	return result
+}
+
+func millisecondsOf(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
 	"github.com/sycamorelift/sycamorelift/pkg/gateway"
 	"github.com/sycamorelift/sycamorelift/pkg/lifecycle"
+	"github.com/sycamorelift/sycamorelift/pkg/peering"
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
@@ -29,9 +30,6 @@
 	exitMargin = 700 * time.Millisecond
 	// supervisorStop bounds the end of the supervised services.
 	supervisorStop = 200 * time.Millisecond
-	// assumedInstances share the budgets until the number of instances is known.
-	// It is above the size of today's deployments with all spare machines.
-	assumedInstances = 10
 	// readHeaderTimeout and maxHeaderBytes are beyond what tables allow callers;
 	// net/http cannot follow a table that changes.
 	readHeaderTimeout = 10 * time.Second
@@ -46,8 +44,11 @@
 	follower  *feed.Follower
 	sender    *forward.Sender
 	budget    *extras.Budget
+	members   *peering.Members
+	exchanger *peering.Exchanger
 	lifecycle *lifecycle.Lifecycle
 	registry  *telemetry.Registry
+	warmer    *warmer
 	servers   []*listener
 }
 
@@ -59,6 +60,12 @@
 		logger:   options.Logger,
 		registry: telemetry.NewRegistry(s.Instance.ID),
 	}
+	r.members = peering.NewMembers(peering.Member{
+		ID:          s.Instance.ID,
+		Zone:        s.Instance.Zone,
+		Address:     s.Listen.Peer,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}, time.Now, r.logger)
 	r.directory = directory.New(s.Bounds.Drain, time.Now)
 	r.follower = feed.NewFollower(options.Source, r.directory, r.logger)
 	r.sender = forward.NewSender(options.Codec, r.logger)
@@ -66,18 +73,21 @@
 		Ratio:     s.Bounds.ExtraRatio,
 		Allowance: s.Bounds.ExtraAllowance,
 		Window:    s.Bounds.ExtraWindow,
-	}, r.instances)
+	}, r.members.Count)
 	r.lifecycle = lifecycle.New(lifecycle.Config{
 		LoadBalancerDelay: loadBalancerDelay,
 		DrainTimeout:      max(s.Bounds.Grace-loadBalancerDelay-exitMargin, 0),
-		OnDraining:        func() { r.logger.Info("draining", "in_flight", r.lifecycle.InFlight()) },
+		OnDraining:        r.announceDrain,
 	})
 	r.publish()
 	return r, r.listen()
 }
 
-// instances is the number of instances that share the budgets.
-func (r *Relay) instances() int { return assumedInstances }
+// announceDrain tells the other instances that this one takes no more work.
+func (r *Relay) announceDrain() {
+	r.members.SetLeaving()
+	r.logger.Info("draining", "in_flight", r.lifecycle.InFlight())
+}
 
 func (r *Relay) publish() {
 	r.registry.Func("table", func() any {
@@ -98,18 +108,25 @@
 
 func (r *Relay) listen() error {
 	s := r.options.Settings
+	client := peering.NewClient()
 	engine := forward.New(forward.Config{
 		Directory: r.directory,
 		Tracker:   replicas.New(s.Instance.Zone),
 		Budget:    r.budget,
 		Caller:    r.sender,
-		Instances: r.instances,
+		Zone:      s.Instance.Zone,
+		Relays:    peering.NewRelays(r.members, client),
+		Sharing:   r.members,
 	})
+	r.warmer = &warmer{zone: s.Instance.Zone, directory: r.directory, follower: r.follower, engine: engine, sender: r.sender}
+	r.exchanger = peering.NewExchanger(r.members, client, func() []string { return s.Seeds })
+	peers := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
 	callers := r.lifecycle.Handler(gateway.New(r.options.Codec, r.follower, engine, recorder))
 	idle := gateway.NewIdleCloser(r.idleTimeout)
 	return errors.Join(
 		r.add("operator", s.Listen.Operator, &http.Server{Handler: r.registry.Handler()}),
+		r.add("peer", s.Listen.Peer, &http.Server{Handler: r.lifecycle.PeerHandler(peers)}),
 		r.add("readiness", s.Listen.Readiness, &http.Server{Handler: r.lifecycle.Readiness()}),
 		r.add("caller", s.Listen.Caller, &http.Server{
 			Handler:                      callers,
@@ -147,10 +164,13 @@
 		supervisor.Add(l)
 	}
 	supervisor.Add(r.follower)
+	supervisor.Add(r.exchanger)
+	supervisor.Add(r.warmer)
 	finished := supervisor.ServeBackground(running)
 	r.logger.Info("started", "instance_zone", r.options.Settings.Instance.Zone)
 	select {
 	case <-r.follower.Ready():
+		r.warmer.warm(running)
 		r.lifecycle.SetReady()
 		r.logger.Info("ready", "table_version", r.follower.Table().Version())
 		<-ctx.Done()
--- /dev/null
+++ b/pkg/relay/warmer.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+	"github.com/sycamorelift/sycamorelift/pkg/feed"
+	"github.com/sycamorelift/sycamorelift/pkg/forward"
+)
+
+const (
+	// warmInterval is how often servers without a connection are looked for. New
+	// shards are listed some seconds before a table names them.
+	warmInterval = 700 * time.Millisecond
+	// warmParallel bounds the connections opened at once.
+	warmParallel = 8
+	// warmTimeout bounds one connection.
+	warmTimeout = 300 * time.Millisecond
+)
+
+// warmer opens connections to the backend servers of this availability zone
+// before requests need them.
+type warmer struct {
+	zone      string
+	directory *directory.Directory
+	follower  *feed.Follower
+	engine    *forward.Engine
+	sender    *forward.Sender
+}
+
+// Serve implements suture.Service.
+func (w *warmer) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(warmInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.warm(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// String names the service in the supervisor's log.
+func (w *warmer) String() string { return "connection warmer" }
+
+// warm makes one pass. A server that cannot be reached is met again by the next
+// pass or by a request, which reports it.
+func (w *warmer) warm(ctx context.Context) {
+	table := w.follower.Table()
+	if table == nil {
+		return
+	}
+	var group errgroup.Group
+	group.SetLimit(warmParallel)
+	for _, server := range w.directory.InZone(w.zone) {
+		service, ok := table.Service(server.Service)
+		if !ok {
+			continue
+		}
+		connections := w.engine.Connections(service.MaxConnections, server)
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+			defer cancel()
+			return w.sender.Warm(ctx, server, connections)
+		})
+	}
+	_ = group.Wait() // see above
+}
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -32,6 +32,8 @@
 		a.server.succeed()
 	case Refused:
 		a.server.recordFault(true)
+	case Misplaced:
+		a.server.misplaced = now
 	case Failed:
 		a.server.recordFault(true)
 		a.server.fail(now)
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -9,11 +9,12 @@
 const (
 	// remoteFactor weighs the links between availability zones, which are slow
 	// and priced by the byte.
-	remoteFactor = 1.6
+	remoteFactor = 2
 	// coldFactor is the slowness of a server that has just started.
 	coldFactor = 1.6
-	// faultFactor weighs the share of refused and failed attempts.
-	faultFactor = 4.0
+	// faultFactor weighs the share of refused and failed attempts: a server that
+	// refuses one in five is worse than one in another zone.
+	faultFactor = 12.0
 	// pausedPenalty and ejectedPenalty put such servers last, in that order.
 	pausedPenalty  = 100.0
 	ejectedPenalty = 10000.0
@@ -38,7 +39,10 @@
 		if excluded(candidate.ID) {
 			continue
 		}
-		choice := t.judgeLocked(candidate, now)
+		choice, usable := t.judgeLocked(candidate, now)
+		if !usable {
+			continue
+		}
 		if !found || choice.Score < best.Score {
 			best, found = choice, true
 		}
@@ -46,10 +50,14 @@
 	return best, found
 }
 
-func (t *Tracker) judgeLocked(candidate *directory.Server, now time.Time) Choice {
+// judgeLocked returns false for a server that is not at its address.
+func (t *Tracker) judgeLocked(candidate *directory.Server, now time.Time) (Choice, bool) {
 	known := t.serverLocked(candidate.Key(), now)
 	known.age(now)
 	c := Choice{Server: candidate}
+	if !known.misplaced.IsZero() && now.Sub(known.misplaced) < misplacedFor {
+		return c, false
+	}
 	slowness := known.slowness
 	if now.Before(candidate.WarmAt) {
 		slowness = max(slowness, coldFactor)
@@ -67,7 +75,7 @@
 		c.Ejected = true
 		c.Score += ejectedPenalty
 	}
-	return c
+	return c, true
 }
 
 // pausedLocked reports whether the oldest running attempt takes much longer than
--- a/pkg/replicas/outcome.go
+++ b/pkg/replicas/outcome.go
@@ -9,4 +9,5 @@
 	Refused                  // the server stated that it did not run the request
 	Failed                   // no reply, a broken one, or the server's own error
 	Abandoned                // given up here; says nothing but that it took that long
+	Misplaced                // another server has the address
 )
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -7,11 +7,22 @@
 
 const (
 	// slownessWeight and faultWeight are the weights of a new sample.
-	slownessWeight = 0.25
-	faultWeight    = 0.2
+	slownessWeight = 0.1
+	faultWeight    = 0.15
+	// sampleGrowth bounds a sample relative to the estimate, so that a single pause
+	// of a server does not make it look slow for seconds, while a server that is
+	// slow shows within some ten replies.
+	sampleGrowth = 4.0
 	// forgetHalfLife returns the view of a server to neutral, so that one that
 	// has recovered gets requests again.
 	forgetHalfLife = 3 * time.Second
+	// faultHalfLife is longer: a server that refuses part of its requests costs an
+	// attempt of a small budget whenever it is tried again.
+	faultHalfLife = 10 * time.Second
+	// misplacedFor is how long a server is left out after another one has answered
+	// at its address. Such attempts count as load on the other one's service. The
+	// list corrects the address within its lag.
+	misplacedFor = 10 * time.Second
 	// maxSlowness bounds what one sample can add.
 	maxSlowness = 20.0
 
@@ -34,6 +45,7 @@
 	failures  int // in a row
 	ejections int // in a row
 	ejected   time.Time
+	misplaced time.Time // last time that another server answered at the address
 }
 
 func newServer(now time.Time) *server { return &server{slowness: 1, updated: now, seen: now} }
@@ -44,14 +56,18 @@
 	if passed <= 0 {
 		return
 	}
-	weight := math.Exp2(-float64(passed) / float64(forgetHalfLife))
-	s.slowness = 1 + (s.slowness-1)*weight
-	s.faults *= weight
+	s.slowness = 1 + (s.slowness-1)*decay(passed, forgetHalfLife)
+	s.faults *= decay(passed, faultHalfLife)
 	s.updated = now
 }
 
+// decay is the weight that remains of an observation after some time.
+func decay(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
+
 func (s *server) recordSlowness(ratio float64) {
-	ratio = min(ratio, maxSlowness)
+	ratio = min(ratio, maxSlowness, sampleGrowth*s.slowness)
 	s.slowness += slownessWeight * (ratio - s.slowness)
 }
 
