Follow the store through one instance of each zone and keep relays warm

Each instance has two relays in each zone, chosen in proportion to their processor time, greeted at the start. Parts that are there after the hedge delay go out, later ones follow one by one. Full lists of members cross zones once in two seconds only.

Ruled out: processor time as the only cause (without it the median of the short search was 98 ms of 100 ms), the leafs (8 to 15 ms a call).

--- a/pkg/extras/budget.go
+++ b/pkg/extras/budget.go
@@ -18,8 +18,8 @@
 	ratioShare = 0.9
 	// allowanceShare of the fixed allowance is divided among the instances. A
 	// restarted instance has forgotten what it has spent, so that one window can
-	// hold the allowance of two runs.
-	allowanceShare = 0.5
+	// hold more than one share of it.
+	allowanceShare = 0.7
 )
 
 // Limits are the platform's bound on arrivals beyond the first of each request.
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -12,39 +12,44 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
-	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
 const (
-	// watchWait is how long the store holds a watch without changes. A watch on a
-	// connection that has become unresponsive is given up within a change's 3 s.
-	watchWait = 2500 * time.Millisecond
+	// watchWait is how long a watch without changes is held. One on a connection
+	// that has become unresponsive is given up within a change's 3 s.
+	watchWait = 2200 * time.Millisecond
 	// watchGrace is the time beyond watchWait in which its reply arrives.
 	watchGrace = 400 * time.Millisecond
-	// batchPause between watches gathers changes that come together into one call;
-	// it is short against the 3 s in which a change takes effect.
-	batchPause = 120 * time.Millisecond
+	// batchPause between watches of the store gathers changes that come together
+	// into one call; it is short against the 3 s in which a change takes effect.
+	batchPause = 200 * time.Millisecond
+	// peerPause is the same for watches of other instances, which cost nothing.
+	peerPause = 20 * time.Millisecond
 	// readTimeout bounds the reading of everything.
 	readTimeout = 3 * time.Second
-	// firstBackoff and longestBackoff space calls while the store fails: all calls
-	// count against its limit, refused ones too.
+	// firstBackoff and longestBackoff space calls while a source fails: all calls
+	// count against the store's limit, refused ones too.
 	firstBackoff   = 150 * time.Millisecond
 	longestBackoff = 900 * time.Millisecond
-	// confirmedFor is how long a confirmation holds for further requests without a
-	// route.
-	confirmedFor = 250 * time.Millisecond
+	// confirmedFor is the age of the view up to which a request without a route is
+	// refused by it. A table has 3 s to take effect; the rest is for a reader
+	// between the store and this instance.
+	confirmedFor = 1500 * time.Millisecond
 )
 
 // Follower keeps the table and the directory up to date. It is safe for
 // concurrent use.
 type Follower struct {
-	source    Source
+	store     Store
+	sources   Sources
+	decoder   Decoder
 	directory *directory.Directory
 	logger    *slog.Logger
+	journal   *journal
 
 	table     atomic.Pointer[routing.Table]
-	confirmed atomic.Pointer[time.Time] // when the question was asked whose answer confirmed the table
+	confirmed atomic.Pointer[time.Time] // up to when the store has confirmed the view
 	confirms  singleflight.Group
 
 	mu    sync.Mutex // makes adopting a table one step
@@ -52,8 +57,16 @@
 }
 
 // NewFollower returns a follower that knows nothing yet.
-func NewFollower(source Source, d *directory.Directory, logger *slog.Logger) *Follower {
-	return &Follower{source: source, directory: d, logger: logger, ready: make(chan struct{})}
+func NewFollower(store Store, sources Sources, decoder Decoder, d *directory.Directory, logger *slog.Logger) *Follower {
+	return &Follower{
+		store:     store,
+		sources:   sources,
+		decoder:   decoder,
+		directory: d,
+		logger:    logger,
+		journal:   newJournal(),
+		ready:     make(chan struct{}),
+	}
 }
 
 // Table returns the newest table, nil before the first one.
@@ -62,17 +75,19 @@
 // Ready is closed when table and list have been read once.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
-// Age is the time since the table was last confirmed; it is an hour before the
-// first time.
+// neverConfirmed stands in for the age before the first confirmation.
+const neverConfirmed = time.Hour
+
+// Age is the time since the store has confirmed the view.
 func (f *Follower) Age() time.Duration {
 	if at := f.confirmed.Load(); at != nil {
 		return time.Since(*at)
 	}
-	return time.Hour
+	return neverConfirmed
 }
 
-// Confirm reads the table from the store unless that was done a moment ago. It
-// returns the newest known table, and whether the store has confirmed it.
+// Confirm reads the table from the store unless the view was confirmed a moment
+// ago. It returns the newest known table, and whether it is confirmed.
 func (f *Follower) Confirm(ctx context.Context) (*routing.Table, bool) {
 	if f.Age() < confirmedFor {
 		return f.Table(), true
@@ -80,14 +95,14 @@
 	done := f.confirms.DoChan("table", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
 		defer cancel()
-		asked := time.Now()
-		table, err := f.source.ReadTable(ctx)
+		batch, err := f.store.ReadTable(ctx)
 		if err != nil {
 			f.logger.Warn("table not confirmed by the store", "error", err, "view_age_ms", f.Age().Milliseconds())
 			return nil, err
 		}
-		f.adopt(table, "confirmation")
-		f.confirm(asked)
+		for _, item := range batch.Items {
+			f.adopt(f.decoder.Decode(item).Table, "confirmation")
+		}
 		return nil, nil
 	})
 	select {
@@ -98,7 +113,15 @@
 	}
 }
 
-func (f *Follower) confirm(asked time.Time) { f.confirmed.Store(&asked) }
+// confirm moves the time up to which the view is confirmed; it never goes back.
+func (f *Follower) confirm(at time.Time) {
+	for {
+		old := f.confirmed.Load()
+		if old != nil && !at.After(*old) || f.confirmed.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
 
 // adopt takes over a table unless a newer one is in force.
 func (f *Follower) adopt(table *routing.Table, origin string) {
@@ -119,36 +142,11 @@
 	f.logger.Info("table in force", "table_version", table.Version(), "before", before, "routes", table.Routes(), "origin", origin)
 }
 
-// Serve follows the store until ctx ends. It implements suture.Service.
+// Serve follows until ctx ends. It implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
-	failures := 0
-	var revision int64
-	synced := false
+	cycle := &cycle{follower: f}
 	for ctx.Err() == nil {
-		var err error
-		if synced {
-			revision, err = f.watch(ctx, revision)
-		} else {
-			revision, err = f.read(ctx)
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		if err == nil {
-			f.regained(failures)
-			failures = 0
-			synced = true
-			pause(ctx, batchPause)
-			continue
-		}
-		failures++
-		f.failed(err, failures)
-		if errors.Is(err, ErrHistoryGone) {
-			synced = false
-			failures = 0
-			continue
-		}
-		pause(ctx, backoff(failures))
+		pause(ctx, cycle.step(ctx))
 	}
 	return ctx.Err()
 }
@@ -156,60 +154,50 @@
 // String names the service in the supervisor's log.
 func (f *Follower) String() string { return "store follower" }
 
-func (f *Follower) read(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	asked := time.Now()
-	state, err := f.source.Read(ctx)
-	if err != nil {
-		return 0, err
+// takeAll takes over a complete list.
+func (f *Follower) takeAll(b Batch, origin string) {
+	var entries []directory.Entry
+	for _, item := range b.Items {
+		decoded := f.decoder.Decode(item)
+		f.logUnusable(item, decoded)
+		f.adopt(decoded.Table, origin)
+		if decoded.Entry != nil {
+			entries = append(entries, *decoded.Entry)
+		}
 	}
-	f.logUnreadable(state.Unreadable)
-	for _, change := range f.directory.Replace(state.Servers) {
-		f.logChange(change, state.Revision)
+	f.journal.replace(b)
+	for _, change := range f.directory.Replace(entries) {
+		f.logChange(change, b.Revision)
 	}
-	f.adopt(state.Table, "read")
-	f.confirm(asked)
 	staying, leaving := f.directory.Count()
-	f.logger.Info("store read", "revision", state.Revision, "backend_servers", staying, "leaving", leaving)
-	if state.Table != nil {
-		f.becomeReady()
-	}
-	return state.Revision, nil
-}
-
-func (f *Follower) watch(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
-	defer cancel()
-	asked := time.Now()
-	changes, err := f.source.Watch(ctx, after, watchWait)
-	if err != nil {
-		return after, err
-	}
-	f.logUnreadable(changes.Unreadable)
-	for _, change := range changes.Servers {
-		f.apply(change, changes.Revision)
+	f.logger.Info("store read", "origin", origin, "revision", b.Revision, "backend_servers", staying, "leaving", leaving)
+	f.becomeReady()
+}
+
+// takeChanges takes over changes.
+func (f *Follower) takeChanges(b Batch, origin string) {
+	for _, item := range f.journal.add(b) {
+		decoded := f.decoder.Decode(item)
+		f.logUnusable(item, decoded)
+		f.adopt(decoded.Table, origin)
+		switch {
+		case decoded.ServerID == "":
+		case decoded.Entry == nil:
+			f.logChange(f.directory.Remove(decoded.ServerID), item.Revision)
+		default:
+			f.logChange(f.directory.Put(*decoded.Entry), item.Revision)
+		}
 	}
 	for _, id := range f.directory.Sweep() {
 		f.logger.Info("backend server forgotten", "backend_server", id)
 	}
-	f.adopt(changes.Table, "watch")
-	f.confirm(asked)
-	if f.Table() != nil {
-		f.becomeReady()
-	}
-	return max(changes.Revision, after), nil
+	f.becomeReady()
 }
 
-func (f *Follower) apply(change ServerChange, revision int64) {
-	if change.Entry == nil {
-		f.logChange(f.directory.Remove(change.ID), revision)
+func (f *Follower) becomeReady() {
+	if f.Table() == nil {
 		return
 	}
-	f.logChange(f.directory.Put(*change.Entry), revision)
-}
-
-func (f *Follower) becomeReady() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	select {
@@ -226,27 +214,14 @@
 	f.logger.Info("backend server "+string(change.Kind), "backend_server", change.ID, "service", change.Service, "revision", revision)
 }
 
-func (f *Follower) logUnreadable(items []Unreadable) {
-	for _, item := range items {
-		f.logger.Warn("published item cannot be used", "key", item.Key, "error", item.Cause)
-	}
-}
-
-func (f *Follower) failed(err error, failures int) {
-	if failures == 1 {
-		f.logger.Warn("store lost", "error", err, "view_age_ms", f.Age().Milliseconds())
-	}
-}
-
-func (f *Follower) regained(failures int) {
-	if failures > 0 {
-		f.logger.Info("store regained", "failed_calls", failures)
+func (f *Follower) logUnusable(item Item, decoded Decoded) {
+	if decoded.Err != nil {
+		f.logger.Warn("published item cannot be used", "key", item.Key, "revision", item.Revision, "error", decoded.Err)
 	}
 }
 
 func backoff(failures int) time.Duration {
-	delay := firstBackoff << min(failures-1, 6)
-	delay = min(delay, longestBackoff)
+	delay := min(firstBackoff<<min(failures-1, 6), longestBackoff)
 	// Half of the delay is random, so that the instances do not call together.
 	return delay/2 + rand.N(delay/2)
 }
@@ -260,7 +235,20 @@
 	}
 }
 
-// ServeWatch placeholder.
-func (f *Follower) ServeWatch(ctx context.Context, m *peeringpb.WatchRequest) (*peeringpb.WatchReply, error) {
-	return nil, errors.New("not served")
+// ServeAll returns everything that this instance knows, for another one. It
+// returns false before it knows anything.
+func (f *Follower) ServeAll() (Batch, bool) {
+	b, ok := f.journal.everything()
+	b.Age = f.Age()
+	return b, ok
 }
+
+// ServeChanges returns the changes after a revision, for another instance.
+func (f *Follower) ServeChanges(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+	b, err := f.journal.after(ctx, after, wait)
+	b.Age = f.Age()
+	return b, err
+}
+
+// unresponsive tells a history that is gone from a source that fails.
+func unresponsive(err error) bool { return err != nil && !errors.Is(err, ErrHistoryGone) }
--- a/pkg/feed/source.go
+++ b/pkg/feed/source.go
@@ -13,42 +13,50 @@
 // longer known; everything has to be read again.
 var ErrHistoryGone = errors.New("the history of changes is gone")
 
-// Source is the platform's store.
-type Source interface {
-	// Read returns everything. It is not a snapshot: changes after Revision may be
-	// in it already, and have to be watched from Revision on.
-	Read(ctx context.Context) (State, error)
-	// ReadTable returns the newest table alone, nil when none is published.
-	ReadTable(ctx context.Context) (*routing.Table, error)
-	// Watch returns the changes after a revision as soon as there is one, or none
-	// after wait.
-	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
+// Item is one published item. Its value has the platform's format.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64 // of its last change
+	Removed  bool
+}
+
+// Batch holds items as of a revision.
+type Batch struct {
+	Items    []Item
+	Revision int64
+	// Age is how long ago the store has confirmed that there is nothing newer.
+	Age time.Duration
 }
 
-// State is all that is published.
-type State struct {
-	Table      *routing.Table // nil when none is published
-	Servers    []directory.Entry
-	Unreadable []Unreadable
-	Revision   int64
+// Source is the platform's store, or another instance that follows it.
+type Source interface {
+	// Read returns all items. It is not a snapshot: changes after the revision may
+	// be in it already, and have to be watched from the revision on.
+	Read(ctx context.Context) (Batch, error)
+	// Watch returns the changes after a revision, in their order, as soon as there
+	// is one, or none after wait.
+	Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error)
 }
 
-// Changes are in the order in which they were made.
-type Changes struct {
-	Table      *routing.Table // newest, nil when it has not changed
-	Servers    []ServerChange
-	Unreadable []Unreadable
-	Revision   int64
+// Store is the platform's store itself.
+type Store interface {
+	Source
+	// ReadTable returns the item of the table, or none.
+	ReadTable(ctx context.Context) (Batch, error)
 }
 
-// ServerChange is a changed entry; Entry is nil when it was removed.
-type ServerChange struct {
-	ID    string
-	Entry *directory.Entry
+// Decoder reads the platform's formats.
+type Decoder interface {
+	// Decode never fails: what cannot be used has Err set.
+	Decode(item Item) Decoded
 }
 
-// Unreadable is a published item that cannot be used.
-type Unreadable struct {
-	Key   string
-	Cause error
+// Decoded is the meaning of an item. At most one of Table and ServerID is set;
+// neither is for an item that does not concern this product.
+type Decoded struct {
+	Table    *routing.Table
+	ServerID string
+	Entry    *directory.Entry // nil when the entry was removed or names no usable server
+	Err      error            // why the item cannot be used
 }
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -93,5 +93,14 @@
 	return []string{e.weights.Pick(route)}
 }
 
+// unknownShare of a route's target stands in for its usual reply time until there
+// are replies.
+const unknownShare = 0.1
+
 // usual is the usual reply time of a route.
-func (e *Engine) usual(route *routing.Route) time.Duration { return e.tracker.Usual(route.Name) }
+func (e *Engine) usual(route *routing.Route) time.Duration {
+	if usual, known := e.tracker.Usual(route.Name); known || route.Target <= 0 {
+		return usual
+	}
+	return time.Duration(unknownShare * float64(route.Target))
+}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -94,10 +94,10 @@
 }
 
 // relayFor returns an instance near the server when the way there leads to
-// another zone. A relay's own first attempts are not relayed again, so that
-// differing views cannot send a request in circles.
+// another zone. A relay relays only its hedges again, whose receivers relay
+// nothing, so that differing views cannot send a request in circles.
 func (r *run) relayFor(l *leg, server *directory.Server, why purpose) (string, Relay) {
-	if !r.route.Sharded() || l.direct || r.relayed || server.Zone == r.engine.zone || why == retry {
+	if !r.route.Sharded() || l.direct || r.paid || r.relayed && why == first || server.Zone == r.engine.zone || why == retry {
 		return "", nil
 	}
 	zone := server.Zone
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -36,7 +36,12 @@
 	if !call.Cutoff.After(time.Now()) {
 		r.timing.cutoff = call.Deadline
 	}
-	g := &gathering{run: r, call: call, emit: emit, sent: make([]bool, len(r.legs))}
+	mergeUntil := call.Request.Arrived.Add(r.timing.hedge)
+	if r.timing.cutoff.Before(mergeUntil) {
+		mergeUntil = r.timing.cutoff
+	}
+	r.wakeAt = mergeUntil
+	g := &gathering{run: r, call: call, emit: emit, sent: make([]bool, len(r.legs)), mergeUntil: mergeUntil}
 	return r.loop(ctx, g.step)
 }
 
@@ -46,17 +51,20 @@
 	call *PartsCall
 	emit func(*PartsResult)
 	sent []bool // by leg
-	cut  bool   // the cutoff has passed, so that parts no longer wait for each other
+	// mergeUntil is when the parts that are there are sent. By then all but the slow
+	// ones are, and these must not hold up the others.
+	mergeUntil time.Time
+	cut        bool // mergeUntil has passed, parts are sent as they come
 }
 
 // step sends what is due and reports whether that was all. Parts that are merged
-// wait for each other until the cutoff; all others are sent as they come.
+// wait for each other for a while; all others are sent as they come.
 func (g *gathering) step(now time.Time) bool {
 	r := g.run
 	ended := !now.Before(r.timing.deadline)
 	final := ended || r.have+r.lost == len(r.legs)
 	merge := g.call.Merge && !g.cut
-	cutNow := merge && !now.Before(r.timing.cutoff)
+	cutNow := merge && !now.Before(g.mergeUntil)
 	if merge && !final && !cutNow {
 		return false
 	}
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -33,7 +33,7 @@
 	MaxAttempts    int // per shard
 	Priority       int
 	Target         time.Duration // of the route
-	Cutoff         time.Time     // when the parts that are there are returned; later ones follow
+	Cutoff         time.Time     // when the answer goes out if enough parts are there
 	Deadline       time.Time     // end of the request
 	Extra          bool          // every attempt is beyond the first and paid for
 	Merge          bool          // one body for all parts
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -38,6 +38,8 @@
 	merged      [][]byte        // bodies of the groups' parts
 	relayZone   string          // for legs without a server in this zone
 
+	wakeAt time.Time // when the run is to be looked at in any case; zero is never
+
 	have int // legs with a reply
 	lost int
 }
@@ -98,6 +100,11 @@
 // loop starts the first attempts and follows them until done, which is asked
 // after each event. It returns false when ctx ends before; all attempts then end.
 func (r *run) loop(ctx context.Context, done func(now time.Time) bool) bool {
+	if ctx.Err() != nil {
+		// A relay that was late to accept must not start what was given up.
+		r.cancel()
+		return false
+	}
 	for _, l := range r.legs {
 		if !r.launch(l, first) {
 			r.lose(l)
@@ -155,6 +162,9 @@
 	if r.route.Sharded() && now.Before(r.timing.cutoff) && r.timing.cutoff.Before(next) {
 		next = r.timing.cutoff
 	}
+	if now.Before(r.wakeAt) && r.wakeAt.Before(next) {
+		next = r.wakeAt
+	}
 	if !r.route.Repeatable {
 		return next
 	}
--- a/pkg/forward/timing.go
+++ b/pkg/forward/timing.go
@@ -19,7 +19,7 @@
 	hedgeFactor = 2.2
 	// hedgeShare of the target is the latest moment of a hedge, so that its reply
 	// is in time.
-	hedgeShare = 0.4
+	hedgeShare = 0.3
 	// shortestHedge keeps very short usual times from causing hedges.
 	shortestHedge = 12 * time.Millisecond
 	// defaultTarget stands in for a route without a target.
--- a/pkg/peering/client.go
+++ b/pkg/peering/client.go
@@ -20,8 +20,9 @@
 const (
 	// dialTimeout bounds the opening of a connection between instances.
 	dialTimeout = 400 * time.Millisecond
-	// idleTimeout closes connections that are not used.
-	idleTimeout = 30 * time.Second
+	// idleTimeout closes connections that are not used. It is long, because a new one
+	// costs two round trips between zones.
+	idleTimeout = 5 * time.Minute
 	// idlePerPeer is the number of connections kept for each instance; requests
 	// that come together use one each.
 	idlePerPeer = 8
--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -13,6 +13,9 @@
 	exchangeInterval = 500 * time.Millisecond
 	// exchangeTimeout bounds one exchange, a lost packet included.
 	exchangeTimeout = 600 * time.Millisecond
+	// remoteChance is the chance that one of a zone's instances, in the mean, also
+	// exchanges with another zone: news need to cross only once.
+	remoteChance = 0.25
 	// seedChance is the chance that an exchange asks a seed, so that two groups of
 	// instances that have lost each other find together again.
 	seedChance = 0.05
@@ -23,11 +26,13 @@
 	members *Members
 	client  *Client
 	seeds   func() []string // peer addresses
+	relays  *Relays
+	greeted map[string]uint64 // incarnations of relays that were called once
 }
 
 // NewExchanger returns an exchanger.
-func NewExchanger(members *Members, client *Client, seeds func() []string) *Exchanger {
-	return &Exchanger{members: members, client: client, seeds: seeds}
+func NewExchanger(members *Members, client *Client, relays *Relays, seeds func() []string) *Exchanger {
+	return &Exchanger{members: members, client: client, relays: relays, seeds: seeds, greeted: make(map[string]uint64)}
 }
 
 // Serve exchanges until ctx ends. It implements suture.Service.
@@ -49,12 +54,23 @@
 
 func (e *Exchanger) step(ctx context.Context) {
 	for _, target := range e.targets() {
-		e.exchange(ctx, target)
+		e.exchange(ctx, target, e.message())
 	}
+	e.greet(ctx)
 }
 
-// targets prefers this availability zone, where bytes are free. One instance of
-// each zone in the mean also asks one of another zone.
+// greet exchanges once with each relay, which opens the connection to it before a
+// request needs it.
+func (e *Exchanger) greet(ctx context.Context) {
+	for _, relay := range e.relays.all() {
+		if e.greeted[relay.ID] != relay.Incarnation {
+			e.greeted[relay.ID] = relay.Incarnation
+			e.exchange(ctx, relay, &peeringpb.ExchangeMessage{Sender: e.members.Self().message(0), Brief: true})
+		}
+	}
+}
+
+// targets prefers this availability zone, where bytes are free.
 func (e *Exchanger) targets() []Member {
 	self := e.members.Self()
 	var local, remote []Member
@@ -69,7 +85,7 @@
 	if len(local) > 0 {
 		out = append(out, local[rand.IntN(len(local))])
 	}
-	if len(remote) > 0 && rand.IntN(len(local)+1) == 0 {
+	if len(remote) > 0 && rand.Float64() < remoteChance/float64(len(local)+1) {
 		out = append(out, remote[rand.IntN(len(remote))])
 	}
 	if seeds := e.seeds(); len(seeds) > 0 && (len(out) == 0 || rand.Float64() < seedChance) {
@@ -80,10 +96,10 @@
 	return out
 }
 
-func (e *Exchanger) exchange(ctx context.Context, target Member) {
+func (e *Exchanger) exchange(ctx context.Context, target Member, m *peeringpb.ExchangeMessage) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := e.client.Exchange(ctx, target.Address, e.message())
+	reply, err := e.client.Exchange(ctx, target.Address, m)
 	if target.ID != "" {
 		e.members.Report(target.ID, err == nil)
 	}
@@ -101,6 +117,15 @@
 	return m
 }
 
+// Answer takes over the news of a message and returns this instance's.
+func (e *Exchanger) Answer(m *peeringpb.ExchangeMessage) *peeringpb.ExchangeMessage {
+	e.Take(m)
+	if m.GetBrief() {
+		return &peeringpb.ExchangeMessage{Sender: e.members.Self().message(0)}
+	}
+	return e.message()
+}
+
 // Take takes over the news of a message.
 func (e *Exchanger) Take(m *peeringpb.ExchangeMessage) {
 	e.members.Heard(memberOf(m.GetSender()))
--- a/pkg/peering/member.go
+++ b/pkg/peering/member.go
@@ -13,6 +13,7 @@
 	Address     string // peer listener, IP:port
 	Incarnation uint64 // grows with each run of an id
 	Leaving     bool
+	Millicores  int // processor time that it has, in 1/1000 of a core
 }
 
 func (m Member) message(age time.Duration) *peeringpb.Member {
@@ -23,6 +24,7 @@
 		Incarnation: m.Incarnation,
 		AgeMs:       uint32(max(age.Milliseconds(), 0)),
 		Leaving:     m.Leaving,
+		Millicores:  uint32(max(m.Millicores, 0)),
 	}
 }
 
@@ -33,5 +35,6 @@
 		Address:     m.GetAddress(),
 		Incarnation: m.GetIncarnation(),
 		Leaving:     m.GetLeaving(),
+		Millicores:  int(m.GetMillicores()),
 	}
 }
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -1,12 +1,16 @@
 package peering
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
+	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
 	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
 )
@@ -25,19 +29,57 @@
 	return &Relays{members: members, client: client, running: make(map[string]int)}
 }
 
-// Pick returns the less busy of two random members of the zone.
+// relaysPerZone is the number of members of another zone that this instance works
+// with. Few of them keep the connections warm: a new one costs two round trips
+// between zones.
+const relaysPerZone = 2
+
+// Pick returns the less busy of this instance's relays in the zone.
 func (r *Relays) Pick(zone string) forward.Relay {
-	usable := r.members.Usable(zone)
-	if len(usable) == 0 {
+	candidates := r.preferred(zone)
+	if len(candidates) == 0 {
 		return nil
 	}
-	a, b := usable[rand.IntN(len(usable))], usable[rand.IntN(len(usable))]
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running[b.ID] < r.running[a.ID] {
-		a = b
+	chosen := candidates[0]
+	for _, m := range candidates[1:] {
+		if r.running[m.ID] < r.running[chosen.ID] {
+			chosen = m
+		}
 	}
-	return &relay{relays: r, member: a}
+	return &relay{relays: r, member: chosen}
+}
+
+// preferred returns the usable members of the zone that rank first for this
+// instance, so that the instances spread over them.
+func (r *Relays) preferred(zone string) []Member {
+	self := r.members.Self().ID
+	usable := r.members.Usable(zone)
+	slices.SortFunc(usable, func(a, b Member) int { return cmp.Compare(relayRank(self, b), relayRank(self, a)) })
+	return usable[:min(relaysPerZone, len(usable))]
+}
+
+// all returns the relays of all other zones.
+func (r *Relays) all() []Member {
+	self := r.members.Self().Zone
+	zones := make(map[string]bool)
+	var out []Member
+	for _, m := range r.members.Usable("") {
+		if m.Zone != self && !zones[m.Zone] {
+			zones[m.Zone] = true
+			out = append(out, r.preferred(m.Zone)...)
+		}
+	}
+	return out
+}
+
+// relayRank is the weight of a member for this instance by weighted rendezvous
+// hashing: members get work in proportion to their processor time.
+func relayRank(self string, m Member) float64 {
+	// The hash as a number between 0 and 1, both excluded.
+	uniform := (float64(xxhash.Sum64String(self+"/"+m.ID)>>11) + 0.5) / (1 << 53)
+	return -float64(max(m.Millicores, 1)) / math.Log(uniform)
 }
 
 func (r *Relays) count(id string, change int) {
--- a/pkg/peering/server.go
+++ b/pkg/peering/server.go
@@ -19,23 +19,18 @@
 	Gather(ctx context.Context, call *forward.PartsCall, emit func(*forward.PartsResult)) bool
 }
 
-// Watcher serves the changes of the store that this instance knows.
-type Watcher interface {
-	ServeWatch(ctx context.Context, m *peeringpb.WatchRequest) (*peeringpb.WatchReply, error)
-}
-
 // Server serves the messages of other instances.
 type Server struct {
 	exchanger *Exchanger
-	watcher   Watcher
+	feed      Feed
 	gatherer  Gatherer
 	logger    *slog.Logger
 	mux       *http.ServeMux
 }
 
 // NewServer returns the handler of the peer listener.
-func NewServer(exchanger *Exchanger, watcher Watcher, gatherer Gatherer, logger *slog.Logger) *Server {
-	s := &Server{exchanger: exchanger, watcher: watcher, gatherer: gatherer, logger: logger, mux: http.NewServeMux()}
+func NewServer(exchanger *Exchanger, feed Feed, gatherer Gatherer, logger *slog.Logger) *Server {
+	s := &Server{exchanger: exchanger, feed: feed, gatherer: gatherer, logger: logger, mux: http.NewServeMux()}
 	twirp := peeringpb.NewPeeringServer(s)
 	s.mux.Handle(twirp.PathPrefix(), http.MaxBytesHandler(twirp, maxMessageBytes))
 	s.mux.HandleFunc("POST "+partsPath, s.parts)
@@ -47,13 +42,12 @@
 
 // Exchange implements peeringpb.Peering.
 func (s *Server) Exchange(_ context.Context, m *peeringpb.ExchangeMessage) (*peeringpb.ExchangeMessage, error) {
-	s.exchanger.Take(m)
-	return s.exchanger.message(), nil
+	return s.exchanger.Answer(m), nil
 }
 
 // Watch implements peeringpb.Peering.
 func (s *Server) Watch(ctx context.Context, m *peeringpb.WatchRequest) (*peeringpb.WatchReply, error) {
-	return s.watcher.ServeWatch(ctx, m)
+	return serveWatch(ctx, s.feed, m)
 }
 
 // parts answers a call for parts. The header goes out at once, so that the caller
--- /dev/null
+++ b/pkg/peering/sources.go
@@ -0,0 +1,113 @@
+package peering
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/sycamorelift/sycamorelift/pkg/feed"
+	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
+)
+
+// Sources implements feed.Sources: one instance of each availability zone reads
+// the store, the others follow it, so that the calls to the store grow with the
+// zones and not with the instances.
+type Sources struct {
+	members *Members
+	client  *Client
+}
+
+// NewSources returns sources over the members.
+func NewSources(members *Members, client *Client) *Sources {
+	return &Sources{members: members, client: client}
+}
+
+// Peer implements feed.Sources. The instances of the zone are ranked by a hash,
+// so that all of them choose the same reader.
+func (s *Sources) Peer(attempt int) feed.PeerSource {
+	self := s.members.Self()
+	ranked := append(s.members.Usable(self.Zone), self)
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(readerRank(a), readerRank(b)) })
+	if attempt >= len(ranked) {
+		return nil
+	}
+	chosen := ranked[attempt]
+	if chosen.ID == self.ID {
+		return nil
+	}
+	return &peerSource{members: s.members, client: s.client, member: chosen}
+}
+
+func readerRank(m Member) uint64 { return xxhash.Sum64String("reader/" + m.ID) }
+
+// peerSource implements feed.PeerSource.
+type peerSource struct {
+	members *Members
+	client  *Client
+	member  Member
+}
+
+func (p *peerSource) ID() string { return p.member.ID }
+
+func (p *peerSource) Read(ctx context.Context) (feed.Batch, error) {
+	return p.ask(ctx, &peeringpb.WatchRequest{Everything: true})
+}
+
+func (p *peerSource) Watch(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
+	return p.ask(ctx, &peeringpb.WatchRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
+}
+
+func (p *peerSource) ask(ctx context.Context, m *peeringpb.WatchRequest) (feed.Batch, error) {
+	reply, err := p.client.Watch(ctx, p.member.Address, m)
+	p.members.Report(p.member.ID, err == nil)
+	if err != nil {
+		return feed.Batch{}, eris.Wrapf(err, "watch instance %s", p.member.ID)
+	}
+	if reply.GetHistoryGone() {
+		return feed.Batch{}, feed.ErrHistoryGone
+	}
+	b := feed.Batch{Revision: reply.GetRevision(), Age: duration(reply.GetAgeMs())}
+	for _, item := range reply.GetItems() {
+		b.Items = append(b.Items, feed.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved()})
+	}
+	return b, nil
+}
+
+// Feed is what this instance knows of the store.
+type Feed interface {
+	ServeAll() (feed.Batch, bool)
+	ServeChanges(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error)
+}
+
+// longestWatch bounds the time for which a watch of another instance is held.
+const longestWatch = 10 * time.Second
+
+// serveWatch answers the watch of another instance.
+func serveWatch(ctx context.Context, f Feed, m *peeringpb.WatchRequest) (*peeringpb.WatchReply, error) {
+	var b feed.Batch
+	if m.GetEverything() {
+		all, ok := f.ServeAll()
+		if !ok {
+			return nil, eris.New("this instance has not read the store yet")
+		}
+		b = all
+	} else {
+		changes, err := f.ServeChanges(ctx, m.GetAfter(), min(duration(m.GetWaitMs()), longestWatch))
+		if eris.Is(err, feed.ErrHistoryGone) {
+			return &peeringpb.WatchReply{HistoryGone: true}, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		b = changes
+	}
+	reply := &peeringpb.WatchReply{Revision: b.Revision, AgeMs: millisecondsOf(b.Age)}
+	for _, item := range b.Items {
+		reply.Items = append(reply.Items, &peeringpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
+	}
+	return reply, nil
+}
--- a/pkg/relay/options.go
+++ b/pkg/relay/options.go
@@ -18,7 +18,8 @@
 // Options are the parts that an instance is given. All are required.
 type Options struct {
 	Settings *settings.Relay
-	Source   feed.Source
+	Store    feed.Store
+	Decoder  feed.Decoder
 	Codec    Codec
 	Logger   *slog.Logger
 	// DroppedLogs returns the number of log records that were not written.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -45,6 +45,7 @@
 	sender    *forward.Sender
 	budget    *extras.Budget
 	members   *peering.Members
+	client    *peering.Client
 	exchanger *peering.Exchanger
 	lifecycle *lifecycle.Lifecycle
 	registry  *telemetry.Registry
@@ -65,9 +66,11 @@
 		Zone:        s.Instance.Zone,
 		Address:     s.Listen.Peer,
 		Incarnation: uint64(time.Now().UnixMilli()),
+		Millicores:  int(1000 * s.Cores),
 	}, time.Now, r.logger)
 	r.directory = directory.New(s.Bounds.Drain, time.Now)
-	r.follower = feed.NewFollower(options.Source, r.directory, r.logger)
+	r.client = peering.NewClient()
+	r.follower = feed.NewFollower(options.Store, peering.NewSources(r.members, r.client), options.Decoder, r.directory, r.logger)
 	r.sender = forward.NewSender(options.Codec, r.logger)
 	r.budget = extras.New(extras.Limits{
 		Ratio:     s.Bounds.ExtraRatio,
@@ -108,18 +111,18 @@
 
 func (r *Relay) listen() error {
 	s := r.options.Settings
-	client := peering.NewClient()
+	relays := peering.NewRelays(r.members, r.client)
 	engine := forward.New(forward.Config{
 		Directory: r.directory,
 		Tracker:   replicas.New(s.Instance.Zone),
 		Budget:    r.budget,
 		Caller:    r.sender,
 		Zone:      s.Instance.Zone,
-		Relays:    peering.NewRelays(r.members, client),
+		Relays:    relays,
 		Sharing:   r.members,
 	})
 	r.warmer = &warmer{zone: s.Instance.Zone, directory: r.directory, follower: r.follower, engine: engine, sender: r.sender}
-	r.exchanger = peering.NewExchanger(r.members, client, func() []string { return s.Seeds })
+	r.exchanger = peering.NewExchanger(r.members, r.client, relays, func() []string { return s.Seeds })
 	peers := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
 	callers := r.lifecycle.Handler(gateway.New(r.options.Codec, r.follower, engine, recorder))
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -44,11 +44,13 @@
 	return a
 }
 
-// Usual returns the median reply time of a route.
-func (t *Tracker) Usual(route string) time.Duration {
+// Usual returns the median reply time of a route, known false before the first
+// reply.
+func (t *Tracker) Usual(route string) (usual time.Duration, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.usual[route].get()
+	_, known = t.usual[route]
+	return t.usual[route].get(), known
 }
 
 func (t *Tracker) usualLocked(route string) *usual {
--- a/pkg/replicas/usual.go
+++ b/pkg/replicas/usual.go
@@ -5,7 +5,7 @@
 const (
 	// usualStep is the relative step of the estimate towards a sample's side.
 	usualStep = 0.04
-	// unknownUsual stands in until a route has replies.
+	// unknownUsual stands in until a route has replies, unless its target says more.
 	unknownUsual = 20 * time.Millisecond
 )
 
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -18,6 +18,7 @@
 	Seeds    []string // peer addresses of instances that may be running
 	Store    string   // address of the platform's store, IP:port
 	Memory   int64    // bytes that the process may use
+	Cores    float64  // processor time that the process has
 	Bounds   RelayBounds
 }
 
@@ -43,6 +44,7 @@
 	boundRange     = durations(100*time.Millisecond, 10*time.Minute)
 	ratioRange     = yamldoc.Range[float64]{Min: 0, Max: 10}
 	allowanceRange = yamldoc.Range[float64]{Min: 0, Max: 1e6}
+	coresRange     = yamldoc.Range[float64]{Min: 0.01, Max: 1024}
 	memoryRange    = yamldoc.Range[int]{Min: 32, Max: 1 << 20}
 )
 
@@ -76,6 +78,8 @@
 	var megabytes int
 	o.Required("memory_mb").Int(&megabytes, memoryRange)
 	s.Memory = int64(megabytes) * mib
+	s.Cores = 1
+	o.Optional("cores").Float(&s.Cores, coresRange)
 	s.Bounds.read(o.Required("bounds"))
 	o.Close()
 }
