--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -85,6 +85,10 @@
 // answer waits for the end of the request.
 func (r *run) answer(ctx context.Context) *Answer {
 	defer r.settle()
+	if refused := r.refuseHopeless(time.Now()); refused != nil {
+		refused.Trace = r.finishTrace()
+		return refused
+	}
 	var answer *Answer
 	done := func(now time.Time) bool {
 		answer = r.verdict(now)
--- a/pkg/forward/verdict.go
+++ b/pkg/forward/verdict.go
@@ -90,6 +90,26 @@
 	}
 }
 
+// refuseHopeless refuses a sharded request before anything is sent when too many
+// shards have no server that answers. Servers that failed are tried again when
+// their ejection ends.
+func (r *run) refuseHopeless(now time.Time) *Answer {
+	if !r.route.Sharded() {
+		return nil
+	}
+	out := 0
+	for _, l := range r.legs {
+		if choice, ok := r.choose(l, now); !ok || choice.Ejected {
+			out++
+		}
+	}
+	required := r.route.RequiredShards()
+	if len(r.legs)-out >= required {
+		return nil
+	}
+	return r.refuse(NoServer, fmt.Sprintf("%d of %d shards without a server that answers, %d required", out, len(r.legs), required))
+}
+
 // refuse ends the request. It promises that the request has not run only if no
 // attempt may have run or still may.
 func (r *run) refuse(reason Reason, detail string) *Answer {
--- /dev/null
+++ b/pkg/peering/members_test.go
@@ -0,0 +1,142 @@
+package peering
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+func newMembers() (*Members, *clock) {
+	c := &clock{now: time.Unix(1000, 0)}
+	return NewMembers(Member{ID: "self", Zone: "z1"}, c.read, slog.New(slog.DiscardHandler)), c
+}
+
+func memberIn(id, zone string) Member {
+	return Member{ID: id, Zone: zone, Address: "10.0.0.1:1", Incarnation: 1, Millicores: 400}
+}
+
+func usable(m *Members, zone string) []string {
+	ids := []string{}
+	for _, member := range m.Usable(zone) {
+		ids = append(ids, member.ID)
+	}
+	return ids
+}
+
+// Guards against work for an instance that is frozen or cut off, and against
+// leaving one out because of a single lost packet.
+func TestSilentMemberIsSuspectedAfterTwoFailures(t *testing.T) {
+	m, c := newMembers()
+	m.Learn(memberIn("a", "z1"), 0)
+	m.Report("a", false)
+	assert.DeepEqual(t, usable(m, "z1"), []string{"a"})
+	m.Report("a", false)
+	assert.DeepEqual(t, usable(m, "z1"), []string{})
+	c.now = c.now.Add(firstSuspicion + time.Millisecond)
+	assert.DeepEqual(t, usable(m, "z1"), []string{"a"})
+	m.Report("a", false)
+	c.now = c.now.Add(firstSuspicion + time.Millisecond)
+	assert.DeepEqual(t, usable(m, "z1"), []string{})
+	m.Report("a", true)
+	assert.DeepEqual(t, usable(m, "z1"), []string{"a"})
+}
+
+// Guards against work for an instance that is shutting down, and against leaving
+// its next run out.
+func TestLeavingMemberGetsNoWork(t *testing.T) {
+	m, _ := newMembers()
+	leaving := memberIn("a", "z1")
+	leaving.Leaving = true
+	m.Learn(memberIn("a", "z1"), 0)
+	m.Learn(leaving, 0)
+	assert.DeepEqual(t, usable(m, "z1"), []string{})
+	// Older news of the same run must not bring it back.
+	m.Learn(memberIn("a", "z1"), time.Second)
+	assert.DeepEqual(t, usable(m, "z1"), []string{})
+	next := memberIn("a", "z1")
+	next.Incarnation = 2
+	m.Learn(next, 0)
+	assert.DeepEqual(t, usable(m, "z1"), []string{"a"})
+}
+
+// Guards against instances that stay known for ever after they are gone, and
+// against news that keep each other alive: an age passed on only grows.
+func TestMemberIsForgottenWhenNobodyHearsOfIt(t *testing.T) {
+	m, c := newMembers()
+	m.Learn(memberIn("a", "z1"), 0)
+	c.now = c.now.Add(forgetAfter / 2)
+	m.Learn(memberIn("a", "z1"), forgetAfter/2)
+	c.now = c.now.Add(forgetAfter / 2)
+	assert.DeepEqual(t, usable(m, ""), []string{})
+	members, _ := m.Listed()
+	assert.Equal(t, len(members), 0)
+}
+
+// Guards against a partition that gives each side the whole of a common budget, and
+// against a new instance that takes it because it knows nobody yet.
+func TestCountDoesNotShrinkWithAPartition(t *testing.T) {
+	m, c := newMembers()
+	assert.Equal(t, m.Count(), assumedMembers)
+	for _, id := range []string{"a", "b", "c"} {
+		m.Learn(memberIn(id, "z2"), 0)
+	}
+	c.now = c.now.Add(settleTime)
+	assert.Equal(t, m.Count(), 4)
+	c.now = c.now.Add(forgetAfter)
+	assert.Equal(t, m.Count(), 4)
+	c.now = c.now.Add(countMemory)
+	assert.Equal(t, m.Count(), 1)
+}
+
+// Guards against relays that change with every request, whose connections would be
+// cold, and against the same relay for all instances.
+func TestRelaysAreFewAndSpread(t *testing.T) {
+	loads := map[string]int{}
+	for i := range 60 {
+		m, _ := newMembers()
+		m.self.ID = "self" + string(rune('0'+i))
+		for j := range 10 {
+			strong := memberIn("p"+string(rune('0'+j)), "z2")
+			if j < 2 {
+				strong.Millicores = 1600
+			}
+			m.Learn(strong, 0)
+		}
+		relays := NewRelays(m, nil)
+		first := relays.preferred("z2")
+		assert.Equal(t, len(first), relaysPerZone)
+		assert.DeepEqual(t, first, relays.preferred("z2"))
+		for _, r := range first {
+			loads[r.ID]++
+		}
+	}
+	assert.Assert(t, len(loads) >= 8, "%v", loads)
+	// Two of ten members have half of the processor time.
+	assert.Assert(t, loads["p0"]+loads["p1"] > 30, "%v", loads)
+	assert.Assert(t, loads["p0"]+loads["p1"] < 90, "%v", loads)
+}
+
+// Guards against two readers in a zone whose instances know the same members, and
+// against none.
+func TestOneReaderForEachZone(t *testing.T) {
+	ids := []string{"a", "b", "c", "d"}
+	readers := 0
+	for _, self := range ids {
+		m, _ := newMembers()
+		m.self = memberIn(self, "z1")
+		for _, id := range ids {
+			m.Learn(memberIn(id, "z1"), 0)
+		}
+		m.Learn(memberIn("e", "z2"), 0)
+		if NewSources(m, nil).Peer(0) == nil {
+			readers++
+		}
+	}
+	assert.Equal(t, readers, 1)
+}
--- /dev/null
+++ b/pkg/peering/wire_test.go
@@ -0,0 +1,169 @@
+package peering
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamorelift/sycamorelift/pkg/feed"
+	"github.com/sycamorelift/sycamorelift/pkg/forward"
+	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
+)
+
+// stubFeed serves one batch.
+type stubFeed struct {
+	batch feed.Batch
+	err   error
+}
+
+func (s stubFeed) ServeAll() (feed.Batch, bool) { return s.batch, s.err == nil }
+
+func (s stubFeed) ServeChanges(context.Context, int64, time.Duration) (feed.Batch, error) {
+	return s.batch, s.err
+}
+
+// stubGatherer records the call and sends the stated results.
+type stubGatherer struct {
+	call    *forward.PartsCall
+	results []*forward.PartsResult
+	block   bool
+}
+
+func (s *stubGatherer) Gather(ctx context.Context, call *forward.PartsCall, emit func(*forward.PartsResult)) bool {
+	s.call = call
+	for _, result := range s.results {
+		emit(result)
+	}
+	if s.block {
+		<-ctx.Done()
+		return false
+	}
+	return true
+}
+
+type pair struct {
+	members *Members // of the calling instance
+	client  *Client
+	address string
+}
+
+// connect serves an instance over loopback and returns a caller of it.
+func connect(t *testing.T, f Feed, g Gatherer) pair {
+	quiet := slog.New(slog.DiscardHandler)
+	served := NewMembers(memberIn("served", "z2"), time.Now, quiet)
+	served.Learn(memberIn("third", "z3"), time.Second)
+	client := NewClient()
+	exchanger := NewExchanger(served, client, NewRelays(served, client), func() []string { return nil })
+	server := httptest.NewServer(NewServer(exchanger, f, g, quiet))
+	t.Cleanup(server.Close)
+	members := NewMembers(memberIn("self", "z1"), time.Now, quiet)
+	address := server.Listener.Addr().(*net.TCPAddr).String()
+	members.Learn(Member{ID: "served", Zone: "z2", Address: address, Incarnation: 1}, 0)
+	return pair{members: members, client: NewClient(), address: address}
+}
+
+func partsCallOf(services ...string) *forward.PartsCall {
+	return &forward.PartsCall{
+		Request: &forward.Request{ID: "id", Method: "GET", Target: "/a/2f?q=1", Host: "h.example",
+			Header: http.Header{"Accept": {"*/*"}, "X-Twice": {"1", "2"}}, Body: []byte("body")},
+		Route:          "r",
+		Services:       services,
+		MaxConnections: []int{26, 54},
+		Top:            10,
+		MaxAttempts:    2,
+		Target:         150 * time.Millisecond,
+		Cutoff:         time.Now().Add(100 * time.Millisecond),
+		Deadline:       time.Now().Add(time.Second),
+		Merge:          true,
+	}
+}
+
+// Guards against requests and parts that change on their way between instances.
+func TestPartsTravelUnchanged(t *testing.T) {
+	g := &stubGatherer{results: []*forward.PartsResult{
+		{Parts: []forward.Part{{Index: 1, Proof: "p1"}}, Body: []byte("merged")},
+		{Final: true, Parts: []forward.Part{{Index: 0, Proof: "p0", Body: []byte("own")}}, Attempts: 3, Hedges: 1, Retries: 2,
+			Lost: []forward.LostPart{{Index: 1, Arrivals: 2, MayRun: true, Event: "e"}}},
+	}}
+	p := connect(t, stubFeed{}, g)
+	call := partsCallOf("s0", "s1")
+	accepted := 0
+	var got []*forward.PartsResult
+	relay := NewRelays(p.members, p.client).Pick("z2")
+	err := relay.Gather(context.Background(), call, func() { accepted++ }, func(r *forward.PartsResult) { got = append(got, r) })
+	assert.NilError(t, err)
+	assert.Equal(t, accepted, 1)
+	assert.DeepEqual(t, got, g.results)
+	for _, same := range []struct{ sent, received any }{
+		{call.Request.Header, g.call.Request.Header}, {call.Request.Target, g.call.Request.Target},
+		{call.Request.Body, g.call.Request.Body}, {call.Request.Host, g.call.Request.Host},
+		{call.Services, g.call.Services}, {call.MaxConnections, g.call.MaxConnections},
+		{call.Top, g.call.Top}, {call.MaxAttempts, g.call.MaxAttempts}, {call.Target, g.call.Target}, {call.Merge, g.call.Merge},
+	} {
+		assert.DeepEqual(t, same.received, same.sent)
+	}
+	late := g.call.Deadline.Sub(call.Deadline)
+	assert.Assert(t, late < 500*time.Millisecond, "the receiver has %v more", late)
+}
+
+// Guards against a caller that has left while its parts are still gathered.
+func TestAbandonedPartsAreCancelled(t *testing.T) {
+	g := &stubGatherer{block: true}
+	p := connect(t, stubFeed{}, g)
+	ctx, cancel := context.WithCancel(context.Background())
+	relay := NewRelays(p.members, p.client).Pick("z2")
+	err := relay.Gather(ctx, partsCallOf("s0"), cancel, func(*forward.PartsResult) {})
+	assert.Assert(t, err != nil)
+}
+
+// Guards against a frozen or dead instance that is taken for one at work.
+func TestUnreachableRelayFails(t *testing.T) {
+	members := NewMembers(memberIn("self", "z1"), time.Now, slog.New(slog.DiscardHandler))
+	members.Learn(Member{ID: "gone", Zone: "z2", Address: "127.0.0.1:1", Incarnation: 1}, 0)
+	relay := NewRelays(members, NewClient()).Pick("z2")
+	err := relay.Gather(context.Background(), partsCallOf("s0"), func() { t.Error("accepted") }, func(*forward.PartsResult) {})
+	assert.Assert(t, err != nil)
+}
+
+// Guards against items of the store that change on their way through a reader.
+func TestItemsTravelUnchanged(t *testing.T) {
+	batch := feed.Batch{Revision: 9, Age: 40 * time.Millisecond, Items: []feed.Item{
+		{Key: "k", Value: []byte{0, 255}, Revision: 8}, {Key: "gone", Revision: 9, Removed: true}}}
+	p := connect(t, stubFeed{batch: batch}, &stubGatherer{})
+	source := &peerSource{members: p.members, client: p.client, member: Member{ID: "served", Address: p.address}}
+	got, err := source.Watch(context.Background(), 7, time.Second)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, batch)
+	got, err = source.Read(context.Background())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, batch)
+}
+
+// Guards against a reader's lost history, or a reader that knows nothing, that is
+// taken for no change.
+func TestReaderWithoutHistory(t *testing.T) {
+	p := connect(t, stubFeed{err: feed.ErrHistoryGone}, &stubGatherer{})
+	source := &peerSource{members: p.members, client: p.client, member: Member{ID: "served", Address: p.address}}
+	_, err := source.Watch(context.Background(), 7, time.Second)
+	assert.Assert(t, errors.Is(err, feed.ErrHistoryGone))
+	_, err = source.Read(context.Background())
+	assert.Assert(t, err != nil)
+}
+
+// Guards against instances that do not learn of each other through a third one.
+func TestExchangeSpreadsMembers(t *testing.T) {
+	p := connect(t, stubFeed{}, &stubGatherer{})
+	exchanger := NewExchanger(p.members, p.client, NewRelays(p.members, p.client), func() []string { return []string{p.address} })
+	exchanger.exchange(context.Background(), Member{Address: p.address}, exchanger.message())
+	assert.DeepEqual(t, usable(p.members, "z3"), []string{"third"})
+	reply, err := p.client.Exchange(context.Background(), p.address, &peeringpb.ExchangeMessage{Sender: memberIn("self", "z1").message(0), Brief: true})
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.GetMembers()), 0)
+}
