Leave a reader that has lost the store at once, count what a broken relay asked

Ruled out: the store's own delay (its answers came within 250 ms) and gossip.

Change: an instance that loses the store ends the watches it holds and says so; followers read the store directly for 5 s, and one that is turned away asks random instances of all zones, also between its own tries. Holds are 1.5 s at the store and 1 s at an instance.

A relay whose connection broke before it had accepted counted as never asked; only a failed dial proves that, and after the hedge delay it may have asked two servers.

--- a/pkg/feed/cycle.go
+++ b/pkg/feed/cycle.go
@@ -6,20 +6,16 @@
 )
 
 const (
-	// peerFailures is the number of failures of other instances in a row after
-	// which the store is read directly.
-	peerFailures = 2
 	// staleAge is the age of another instance's view from which on it is not
-	// followed: it has lost the store, and this instance may still reach it.
-	staleAge = 3200 * time.Millisecond
-	// directFor is how long the store is read directly after that.
+	// followed: it has lost the store, and this instance may still reach it. It is
+	// above the age of a view between two watches that went well.
+	staleAge = storeHold + replyDelay + 300*time.Millisecond
+	// directFor is how long the store is read directly after the zone's reader has
+	// failed.
 	directFor = 5 * time.Second
 	// replyDelay bounds the way of a watch's reply; a slow store takes 250 ms. Only a
 	// process that was paused reads a reply later, and its next watch corrects it.
 	replyDelay = 500 * time.Millisecond
-	// storeFailures is the number of failures of the store in a row after which
-	// other instances are asked: the store may turn away single instances.
-	storeFailures = 2
 )
 
 // cycle is the state of following. It is used by one goroutine.
@@ -28,118 +24,132 @@
 	revision int64
 	synced   bool
 	failures int       // in a row, of any source
-	peers    int       // failures of other instances in a row
 	stores   int       // failures of the store in a row
-	direct   time.Time // until then the store is read directly
-	lost     bool      // the loss was logged
+	direct   time.Time // until then the zone's reader is not followed
+	retry    time.Time // until then the store is not called
+}
+
+// followed is the source of one step.
+type followed struct {
+	Source
+	id    string
+	store bool
+	hold  time.Duration // of a watch without changes
 }
 
 // step reads or watches once and returns the pause before the next step.
 func (c *cycle) step(ctx context.Context) time.Duration {
-	source, origin, isStore := c.source()
+	source, ok := c.source(time.Now())
+	if !ok {
+		return c.retry.Sub(time.Now())
+	}
 	asked := time.Now()
 	batch, err := c.ask(ctx, source)
 	if ctx.Err() != nil {
 		return 0
 	}
-	if err == nil && !isStore && batch.Age > staleAge {
-		err = &StaleError{Peer: origin, Age: batch.Age}
-	}
 	if err != nil {
-		return c.failed(err, origin, isStore)
+		return c.failed(err, source)
 	}
-	f := c.follower
-	if c.synced {
-		f.takeChanges(batch, origin)
-	} else {
-		f.takeAll(batch, origin)
+	// Also a stale view may hold changes that this instance lacks.
+	c.take(batch, source)
+	c.confirm(batch, asked, source)
+	if !source.store && batch.Age > staleAge {
+		return c.failed(&StaleError{Peer: source.id, Age: batch.Age}, source)
 	}
-	c.confirm(batch, asked, isStore)
-	c.succeeded(origin, isStore)
-	c.revision = max(c.revision, batch.Revision)
-	c.synced = true
-	if isStore {
+	c.succeeded(source)
+	if source.store {
 		return batchPause
 	}
 	return peerPause
 }
 
-// source is the store, or another instance that follows it.
-func (c *cycle) source() (source Source, origin string, isStore bool) {
-	if c.stores >= storeFailures || time.Now().After(c.direct) {
-		if peer := c.follower.sources.Peer(c.peers); peer != nil {
-			return peer, peer.ID(), false
-		}
-		if c.stores >= storeFailures {
-			if peer := c.follower.sources.Peer(1 + c.peers); peer != nil {
-				return peer, peer.ID(), false
-			}
+// source is the zone's reader; the store when this instance is the reader or the
+// reader has failed; any other instance while the store fails. It returns false
+// when there is nobody to ask before the store may be called again.
+func (c *cycle) source(now time.Time) (followed, bool) {
+	f := c.follower
+	if now.After(c.direct) {
+		if reader := f.sources.Reader(); reader != nil {
+			return followed{Source: reader, id: reader.ID(), hold: peerHold}, true
 		}
 	}
-	return c.follower.store, "store", true
+	if !now.Before(c.retry) {
+		return followed{Source: f.store, id: "store", store: true, hold: storeHold}, true
+	}
+	if other := f.sources.Any(); other != nil {
+		return followed{Source: other, id: other.ID(), hold: min(peerHold, c.retry.Sub(now))}, true
+	}
+	return followed{}, false
 }
 
-func (c *cycle) ask(ctx context.Context, source Source) (Batch, error) {
+func (c *cycle) ask(ctx context.Context, source followed) (Batch, error) {
 	if !c.synced {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		return source.Read(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	ctx, cancel := context.WithTimeout(ctx, source.hold+watchGrace)
 	defer cancel()
-	return source.Watch(ctx, c.revision, watchWait)
+	return source.Watch(ctx, c.revision, source.hold)
+}
+
+func (c *cycle) take(batch Batch, source followed) {
+	if c.synced {
+		c.follower.takeChanges(batch, source.id)
+	} else {
+		c.follower.takeAll(batch, source.id)
+	}
+	c.revision = max(c.revision, batch.Revision)
+	c.synced = true
 }
 
 // confirm records up to when the view is confirmed. The reply to a watch is made
 // when a change happens or the hold ends, and arrives within replyDelay; a read is
 // as old as its question.
-func (c *cycle) confirm(batch Batch, asked time.Time, isStore bool) {
+func (c *cycle) confirm(batch Batch, asked time.Time, source followed) {
 	at := asked
-	if recent := time.Now().Add(-replyDelay); c.synced && recent.After(asked) {
+	if recent := time.Now().Add(-replyDelay); recent.After(asked) {
 		at = recent
 	}
-	if !isStore {
+	if !source.store {
 		at = at.Add(-batch.Age)
 	}
 	c.follower.confirm(at)
 }
 
-func (c *cycle) failed(err error, origin string, isStore bool) time.Duration {
+// failed moves to another source: from the zone's reader to the store, and from the
+// store to other instances until it may be called again.
+func (c *cycle) failed(err error, source followed) time.Duration {
 	f := c.follower
 	if !unresponsive(err) {
-		f.logger.Info("history of changes is gone, reading everything", "origin", origin, "revision", c.revision)
-		if !c.synced {
-			// A source that has nothing itself is as good as none.
-			c.peers++
-		}
+		f.logger.Info("history of changes is gone, reading everything", "origin", source.id, "revision", c.revision)
 		c.synced = false
 		return peerPause
 	}
-	if !c.lost {
-		c.lost = true
-		f.logger.Warn("source lost", "origin", origin, "error", err, "view_age_ms", f.Age().Milliseconds())
-	}
 	c.failures++
-	if isStore {
-		c.stores++
-		c.peers = 0
-		return backoff(c.stores)
+	if c.failures == 1 {
+		f.logger.Warn("source lost", "origin", source.id, "error", err, "view_age_ms", f.Age().Milliseconds())
 	}
-	c.peers++
-	if c.peers >= peerFailures {
-		c.peers = 0
-		c.stores = 0
-		c.direct = time.Now().Add(directFor)
+	now := time.Now()
+	if source.store {
+		c.stores++
+		c.retry = now.Add(backoff(c.stores))
+		f.setFailing(true)
+	} else {
+		c.direct = now.Add(directFor)
 	}
-	return backoff(1)
+	return peerPause
 }
 
-func (c *cycle) succeeded(origin string, isStore bool) {
-	if c.lost {
-		c.follower.logger.Info("source regained", "origin", origin, "failed_calls", c.failures)
+func (c *cycle) succeeded(source followed) {
+	if c.failures > 0 {
+		c.follower.logger.Info("source regained", "origin", source.id, "failed_calls", c.failures)
 	}
-	c.lost, c.failures, c.peers = false, 0, 0
-	if isStore {
+	c.failures = 0
+	if source.store {
 		c.stores = 0
+		c.retry = time.Time{}
 	}
+	c.follower.setFailing(c.stores > 0)
 }
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -16,10 +16,13 @@
 )
 
 const (
-	// watchWait is how long a watch without changes is held. One on a connection
-	// that has become unresponsive is given up within a change's 3 s.
-	watchWait = 2200 * time.Millisecond
-	// watchGrace is the time beyond watchWait in which its reply arrives.
+	// storeHold is how long the store holds a watch without changes. One on a
+	// connection that has become unresponsive is given up, and everybody who follows
+	// this instance is told so, well within a change's 3 s.
+	storeHold = 1500 * time.Millisecond
+	// peerHold is the same for a watch of another instance, which costs nothing.
+	peerHold = 1000 * time.Millisecond
+	// watchGrace is the time beyond the hold in which the reply arrives.
 	watchGrace = 400 * time.Millisecond
 	// batchPause between watches of the store gathers changes that come together
 	// into one call; it is short against the 3 s in which a change takes effect.
@@ -52,8 +55,9 @@
 	confirmed atomic.Pointer[time.Time] // up to when the store has confirmed the view
 	confirms  singleflight.Group
 
-	mu    sync.Mutex // makes adopting a table one step
-	ready chan struct{}
+	mu      sync.Mutex // makes adopting a table one step
+	ready   chan struct{}
+	failing chan struct{} // closed while this instance has lost the store; guarded by mu
 }
 
 // NewFollower returns a follower that knows nothing yet.
@@ -66,6 +70,7 @@
 		logger:    logger,
 		journal:   newJournal(),
 		ready:     make(chan struct{}),
+		failing:   make(chan struct{}),
 	}
 }
 
@@ -243,12 +248,38 @@
 	return b, ok
 }
 
-// ServeChanges returns the changes after a revision, for another instance.
+// ServeChanges returns the changes after a revision, for another instance. It does
+// not hold the watch while this instance has lost the store, so that those who
+// follow it look for another source at once.
 func (f *Follower) ServeChanges(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
-	b, err := f.journal.after(ctx, after, wait)
+	f.mu.Lock()
+	failing := f.failing
+	f.mu.Unlock()
+	b, err := f.journal.after(ctx, after, wait, failing)
 	b.Age = f.Age()
+	select {
+	case <-failing:
+		b.Age = max(b.Age, staleAge+time.Millisecond)
+	default:
+	}
 	return b, err
 }
 
+// setFailing records whether this instance has lost the store.
+func (f *Follower) setFailing(failing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.failing:
+		if !failing {
+			f.failing = make(chan struct{})
+		}
+	default:
+		if failing {
+			close(f.failing)
+		}
+	}
+}
+
 // unresponsive tells a history that is gone from a source that fails.
 func unresponsive(err error) bool { return err != nil && !errors.Is(err, ErrHistoryGone) }
--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -149,8 +149,13 @@
 		<-f.Ready()
 		turnedAway.setDown(true)
 		store.write("table", "2")
-		time.Sleep(2 * staleAge)
+		time.Sleep(2500 * time.Millisecond)
 		assert.Equal(t, f.Table().Version(), int64(2))
+		// It stays up to date while the reader remains turned away.
+		time.Sleep(10 * time.Second)
+		store.write("table", "3")
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, f.Table().Version(), int64(3))
 	})
 }
 
@@ -162,11 +167,14 @@
 		<-reader.Ready()
 		turnedAway := newFakeStore()
 		turnedAway.setDown(true)
-		f := start(ctx, turnedAway, onePeer{followed: reader})
+		f := start(ctx, turnedAway, onePeer{followed: reader, alone: true})
 		store.write("table", "2")
-		time.Sleep(4 * time.Second)
+		time.Sleep(soon)
 		assert.Assert(t, f.Table() != nil)
 		assert.Equal(t, f.Table().Version(), int64(2))
+		store.write("table", "3")
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, f.Table().Version(), int64(3))
 	})
 }
 
--- a/pkg/feed/journal.go
+++ b/pkg/feed/journal.go
@@ -96,8 +96,9 @@
 	return b, j.synced
 }
 
-// after returns the changes after a revision, waiting for one if there is none.
-func (j *journal) after(ctx context.Context, revision int64, wait time.Duration) (Batch, error) {
+// after returns the changes after a revision, waiting for one if there is none
+// until the wait is over or stop is closed.
+func (j *journal) after(ctx context.Context, revision int64, wait time.Duration, stop <-chan struct{}) (Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -109,6 +110,8 @@
 		case <-changed:
 		case <-timer.C:
 			return b, nil
+		case <-stop:
+			return b, nil
 		case <-ctx.Done():
 			return Batch{}, ctx.Err()
 		}
--- a/pkg/feed/sources.go
+++ b/pkg/feed/sources.go
@@ -1,11 +1,12 @@
 package feed
 
-// Sources chooses whom an instance follows.
+// Sources chooses other instances to follow in place of the store.
 type Sources interface {
-	// Peer returns another instance to follow in place of the store, or nil when
-	// this instance is to read the store itself. Attempt counts the failures of
-	// the instances chosen before.
-	Peer(attempt int) PeerSource
+	// Reader returns the instance that reads the store for this availability zone,
+	// or nil when that is this instance.
+	Reader() PeerSource
+	// Any returns some other instance, or nil when none is known.
+	Any() PeerSource
 }
 
 // PeerSource is another instance.
--- a/pkg/feed/world_test.go
+++ b/pkg/feed/world_test.go
@@ -88,7 +88,7 @@
 	if err := s.call(); err != nil {
 		return Batch{}, err
 	}
-	return s.journal.after(ctx, after, wait)
+	return s.journal.after(ctx, after, wait, nil)
 }
 
 // fakeDecoder reads the test's format.
@@ -118,18 +118,25 @@
 // noPeers makes an instance read the store itself.
 type noPeers struct{}
 
-func (noPeers) Peer(int) PeerSource { return nil }
+func (noPeers) Reader() PeerSource { return nil }
+func (noPeers) Any() PeerSource    { return nil }
 
-// onePeer makes an instance follow another one.
-type onePeer struct{ followed *Follower }
+// onePeer makes an instance follow another one, which reads the store for it or,
+// when alone is set, is only asked when the store fails.
+type onePeer struct {
+	followed *Follower
+	alone    bool
+}
 
-func (p onePeer) Peer(attempt int) PeerSource {
-	if attempt > 0 {
+func (p onePeer) Reader() PeerSource {
+	if p.alone {
 		return nil
 	}
 	return followedPeer(p)
 }
 
+func (p onePeer) Any() PeerSource { return followedPeer(p) }
+
 type followedPeer onePeer
 
 func (p followedPeer) ID() string { return "peer" }
--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -133,6 +134,9 @@
 		l.direct = true
 		if sent {
 			l.mayRun = true
+			if !g.extra && time.Since(g.began) >= r.timing.hedge {
+				l.arrivals++ // the relay may have hedged
+			}
 		} else {
 			r.unsend(l)
 		}
@@ -161,9 +165,9 @@
 	switch {
 	case g.ended:
 	case e.err != nil:
-		// Before the acceptance nothing has been asked of a backend server, unless
-		// the acceptance itself was lost.
-		r.endGroup(g, "relay failed: "+e.err.Error(), g.accepted)
+		var call *CallError
+		unsent := errors.As(e.err, &call) && !call.Sent
+		r.endGroup(g, "relay failed: "+e.err.Error(), !unsent)
 	case e.result == nil:
 		g.accepted = true
 	default:
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -17,7 +17,7 @@
 	ID() string
 	// Gather asks the instance for parts. Accepted is called when it is known to
 	// work on them, then receive for each result; the last one is final unless there
-	// is an error. The error says nothing about what was sent to backend servers.
+	// is an error. A *CallError with Sent unset tells that the call was not sent.
 	Gather(ctx context.Context, call *PartsCall, accepted func(), receive func(*PartsResult)) error
 	// Failed records that the instance did not accept in time.
 	Failed()
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -155,12 +155,29 @@
 	})
 }
 
+// Guards against more servers for a shard than the route allows when a connection to
+// a relay breaks: the relay may have asked one, and after the hedge delay two.
+func TestBrokenRelayMayHaveAskedServers(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.onlyThere(10)
+		w.addServer("s03", "s03.c", there)
+		w.addPeer().refused = errors.New("connection lost")
+		for _, id := range []string{"s03.b", "s03.c"} {
+			w.set(id, w.counted(refuses))
+		}
+		answer, _ := w.ask(background, route)
+		assert.Equal(t, answer.Merged.Missing, 1)
+		// One attempt may have been the relay's, so that one is left.
+		assert.Equal(t, w.arrived(), 10)
+	})
+}
+
 // Guards against an attempt that counts as extra load when the relay was never
 // reached.
 func TestUnreachableRelayCostsNoBudget(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
 		route := w.onlyThere(10)
-		w.addPeer().refused = errors.New("connection refused")
+		w.addPeer().refused = &CallError{Detail: "connection refused"}
 		left := w.budget.Left("s03", time.Now())
 		answer, _ := w.ask(background, route)
 		assert.Equal(t, answer.Merged.Missing, 0)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -26,7 +26,9 @@
 	return h.Get("Id"), patience
 }
 
-func (stubCodec) Merged(h http.Header, m *forward.Merged) { h.Set("Parts", strings.Join(m.Proofs, " ")) }
+func (stubCodec) Merged(h http.Header, m *forward.Merged) {
+	h.Set("Parts", strings.Join(m.Proofs, " "))
+}
 
 // stubTables has a table, and another one that a confirmation finds.
 type stubTables struct {
--- a/pkg/peering/members_test.go
+++ b/pkg/peering/members_test.go
@@ -134,7 +134,7 @@
 			m.Learn(memberIn(id, "z1"), 0)
 		}
 		m.Learn(memberIn("e", "z2"), 0)
-		if NewSources(m, nil).Peer(0) == nil {
+		if NewSources(m, nil).Reader() == nil {
 			readers++
 		}
 	}
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -114,6 +116,10 @@
 	if err != nil && ctx.Err() == nil {
 		r.Failed()
 	}
+	var dialling *net.OpError
+	if errors.As(err, &dialling) && dialling.Op == "dial" {
+		return &forward.CallError{Detail: "instance cannot be reached", Cause: err}
+	}
 	return err
 }
 
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,20 +27,30 @@
 	return &Sources{members: members, client: client}
 }
 
-// Peer implements feed.Sources. The instances of the zone are ranked by a hash,
+// Reader implements feed.Sources. The instances of the zone are ranked by a hash,
 // so that all of them choose the same reader.
-func (s *Sources) Peer(attempt int) feed.PeerSource {
+func (s *Sources) Reader() feed.PeerSource {
 	self := s.members.Self()
 	ranked := append(s.members.Usable(self.Zone), self)
-	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(readerRank(a), readerRank(b)) })
-	if attempt >= len(ranked) {
+	chosen := slices.MinFunc(ranked, func(a, b Member) int { return cmp.Compare(readerRank(a), readerRank(b)) })
+	if chosen.ID == self.ID {
 		return nil
 	}
-	chosen := ranked[attempt]
-	if chosen.ID == self.ID {
+	return s.source(chosen)
+}
+
+// Any implements feed.Sources. The choice is random over all zones: the store may
+// turn away some instances, and whom it serves is not known.
+func (s *Sources) Any() feed.PeerSource {
+	usable := s.members.Usable("")
+	if len(usable) == 0 {
 		return nil
 	}
-	return &peerSource{members: s.members, client: s.client, member: chosen}
+	return s.source(usable[rand.IntN(len(usable))])
+}
+
+func (s *Sources) source(m Member) feed.PeerSource {
+	return &peerSource{members: s.members, client: s.client, member: m}
 }
 
 func readerRank(m Member) uint64 { return xxhash.Sum64String("reader/" + m.ID) }
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -129,7 +129,8 @@
 	members.Learn(Member{ID: "gone", Zone: "z2", Address: "127.0.0.1:1", Incarnation: 1}, 0)
 	relay := NewRelays(members, NewClient()).Pick("z2")
 	err := relay.Gather(context.Background(), partsCallOf("s0"), func() { t.Error("accepted") }, func(*forward.PartsResult) {})
-	assert.Assert(t, err != nil)
+	var call *forward.CallError
+	assert.Assert(t, errors.As(err, &call) && !call.Sent)
 }
 
 // Guards against items of the store that change on their way through a reader.
