--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -118,13 +118,13 @@
 		}
 		g.relay.Failed()
 		g.cancel()
-		r.endGroup(g, "relay did not accept", true)
+		r.endGroup(g, "relay did not accept", 1)
 	}
 }
 
-// endGroup gives up a group without a result. Sent tells whether its requests may
-// have reached backend servers.
-func (r *run) endGroup(g *group, event string, sent bool) {
+// endGroup gives up a group without a result. Asked is the number of backend
+// servers that the relay may have asked for each leg.
+func (r *run) endGroup(g *group, event string, asked int) {
 	g.ended = true
 	for i, l := range g.legs {
 		if g.taken[i] {
@@ -132,13 +132,11 @@
 		}
 		l.running--
 		l.direct = true
-		if sent {
-			l.mayRun = true
-			if !g.extra && time.Since(g.began) >= r.timing.hedge {
-				l.arrivals++ // the relay may have hedged
-			}
-		} else {
+		l.mayRun = l.mayRun || asked > 0
+		if asked == 0 {
 			r.unsend(l)
+		} else {
+			l.arrivals += asked - 1
 		}
 		if !g.extra {
 			// The relay counts a request that it answers; this one falls to this instance.
@@ -165,9 +163,7 @@
 	switch {
 	case g.ended:
 	case e.err != nil:
-		var call *CallError
-		unsent := errors.As(e.err, &call) && !call.Sent
-		r.endGroup(g, "relay failed: "+e.err.Error(), !unsent)
+		r.endGroup(g, "relay failed: "+e.err.Error(), r.askedBy(g, e.err))
 	case e.result == nil:
 		g.accepted = true
 	default:
@@ -175,6 +171,20 @@
 	}
 }
 
+// askedBy is the number of servers that a relay may have asked for each leg when
+// its call failed.
+func (r *run) askedBy(g *group, err error) int {
+	var call *CallError
+	switch {
+	case errors.As(err, &call) && !call.Sent:
+		return 0
+	case !g.extra && time.Since(g.began) >= r.timing.hedge:
+		return 2 // it may have hedged
+	default:
+		return 1
+	}
+}
+
 func (r *run) absorbParts(g *group, result *PartsResult) {
 	if len(result.Body) > 0 {
 		r.merged = append(r.merged, result.Body)
