Hand the shards of a zone to a stronger instance of it

Each of 80 instances saw so few requests that its share of the retry budget was 3 in ten seconds a shard.

Change: an instance that has a neighbour with 1.5 times its processor time hands the shards of its zone to it. A timer that fires late shows that the instance itself was starved; it then waits a little longer for an acceptance. Nothing new is started after the caller has left, also when several events come at once.

Ruled out: the network (relays accept within 12 ms when idle) and the leafs.

--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -12,6 +12,10 @@
 	acceptShare = 0.33
 	// shortestAccept covers a new connection between zones.
 	shortestAccept = 28 * time.Millisecond
+	// starvedBy is the delay of a timer that shows that this instance itself got no
+	// processor time; acceptances may then wait to be read for starvedGrace.
+	starvedBy    = 5 * time.Millisecond
+	starvedGrace = 30 * time.Millisecond
 	// relayMargin is how much earlier than the answer the relay's parts are due:
 	// the way there and back.
 	relayMargin = 16 * time.Millisecond
@@ -26,6 +30,7 @@
 	taken    []bool // legs that have their result
 	extra    bool
 	began    time.Time
+	grace    time.Duration // added to the wait for the acceptance
 	accepted bool
 	ended    bool
 	cancel   context.CancelFunc
@@ -107,13 +112,18 @@
 
 // acceptBy is when a group has to be accepted.
 func (r *run) acceptBy(g *group) time.Time {
-	return g.began.Add(max(time.Duration(acceptShare*float64(r.route.Target)), shortestAccept))
+	return g.began.Add(g.grace + max(time.Duration(acceptShare*float64(r.route.Target)), shortestAccept))
 }
 
 // giveUpGroups asks directly where a relay has not accepted in time.
 func (r *run) giveUpGroups(now time.Time) {
 	for _, g := range r.groups {
-		if g.ended || g.accepted || now.Before(r.acceptBy(g)) {
+		due := r.acceptBy(g)
+		if g.ended || g.accepted || now.Before(due) {
+			continue
+		}
+		if g.grace == 0 && now.Sub(due) > starvedBy {
+			g.grace = now.Sub(due) + starvedGrace
 			continue
 		}
 		g.relay.Failed()
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -94,20 +94,28 @@
 }
 
 // relayFor returns an instance near the server when the way there leads to
-// another zone. A relay relays only its hedges again, whose receivers relay
-// nothing, so that differing views cannot send a request in circles.
+// another zone, or a stronger one of this zone when this instance is weak. A relay
+// relays only its hedges again, whose receivers relay nothing, so that differing
+// views cannot send a request in circles.
 func (r *run) relayFor(l *leg, server *directory.Server, why purpose) (string, Relay) {
-	if !r.route.Sharded() || l.direct || r.paid || r.relayed && why == first || server.Zone == r.engine.zone || why == retry {
+	if !r.route.Sharded() || l.direct || r.paid || r.relayed && why == first || why == retry {
 		return "", nil
 	}
+	if server.Zone == r.engine.zone {
+		if why != first {
+			return "", nil
+		}
+		if g := r.unsentFor(server.Zone); g != nil {
+			return g.zone, g.relay
+		}
+		return server.Zone, r.engine.relays.Stronger()
+	}
 	zone := server.Zone
 	if why == first && r.relayZone != "" && hasServerIn(l.servers, r.relayZone) {
 		zone = r.relayZone
 	}
-	for _, g := range r.unsent {
-		if g.zone == zone {
-			return zone, g.relay
-		}
+	if g := r.unsentFor(zone); g != nil {
+		return zone, g.relay
 	}
 	relay := r.engine.relays.Pick(zone)
 	if relay != nil && why == first && r.relayZone == "" {
@@ -117,6 +125,16 @@
 	return zone, relay
 }
 
+// unsentFor returns the group for a zone that is being put together.
+func (r *run) unsentFor(zone string) *group {
+	for _, g := range r.unsent {
+		if g.zone == zone {
+			return g
+		}
+	}
+	return nil
+}
+
 func hasServerIn(servers []*directory.Server, zone string) bool {
 	for _, s := range servers {
 		if s.Zone == zone {
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -10,6 +10,9 @@
 type Relays interface {
 	// Pick returns an instance of the zone that can be given work, or nil.
 	Pick(zone string) Relay
+	// Stronger returns an instance of this zone with much more processor time than
+	// this one, or nil.
+	Stronger() Relay
 }
 
 // Relay is another instance.
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -44,6 +44,7 @@
 type noRelays struct{}
 
 func (noRelays) Pick(string) Relay { return nil }
+func (noRelays) Stronger() Relay   { return nil }
 
 func (p *peer) ID() string { return "peer" }
 func (p *peer) Failed()    { p.failed++ }
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -134,6 +134,12 @@
 			r.cancel()
 			return false
 		}
+		if ctx.Err() != nil {
+			// Several events at once come in no order; nothing new is started for a
+			// request that nobody waits for.
+			r.cancel()
+			return false
+		}
 		now = time.Now()
 		r.giveUpGroups(now)
 		r.hedge(now)
--- a/pkg/forward/world_test.go
+++ b/pkg/forward/world_test.go
@@ -61,6 +61,7 @@
 func (w *world) ZoneCount() int { return 1 }
 
 func (w *world) Pick(zone string) Relay { return w.relays[zone] }
+func (w *world) Stronger() Relay        { return w.relays[here] }
 
 // Call implements Caller.
 func (w *world) Call(ctx context.Context, call Call) (*Reply, error) {
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -36,9 +36,27 @@
 // between zones.
 const relaysPerZone = 2
 
+// strongerBy is how much more processor time an instance has that is given the
+// shards of this zone. Asking all of them takes a weak instance so long that the
+// detour pays.
+const strongerBy = 1.5
+
+// Stronger implements forward.Relays.
+func (r *Relays) Stronger() forward.Relay {
+	self := r.members.Self()
+	usable := r.members.Usable(self.Zone)
+	usable = slices.DeleteFunc(usable, func(m Member) bool {
+		return float64(m.Millicores) < strongerBy*float64(self.Millicores)
+	})
+	return r.lessBusy(r.first(usable))
+}
+
 // Pick returns the less busy of this instance's relays in the zone.
 func (r *Relays) Pick(zone string) forward.Relay {
-	candidates := r.preferred(zone)
+	return r.lessBusy(r.preferred(zone))
+}
+
+func (r *Relays) lessBusy(candidates []Member) forward.Relay {
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -56,8 +74,12 @@
 // preferred returns the usable members of the zone that rank first for this
 // instance, so that the instances spread over them.
 func (r *Relays) preferred(zone string) []Member {
+	return r.first(r.members.Usable(zone))
+}
+
+// first sorts members by their rank for this instance and returns the first ones.
+func (r *Relays) first(usable []Member) []Member {
 	self := r.members.Self().ID
-	usable := r.members.Usable(zone)
 	slices.SortFunc(usable, func(a, b Member) int { return cmp.Compare(relayRank(self, b), relayRank(self, a)) })
 	return usable[:min(relaysPerZone, len(usable))]
 }
