Let requests of a starting instance wait for table and servers

Change: the servers are applied first, and a request that finds no table waits for both, at most the 400 ms of a confirmation.

Ruled out: the start of the process (ready within 50 ms of its start); the second without machines cannot be served.

--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -94,6 +94,9 @@
 // Confirm reads the table from the store unless the view was confirmed a moment
 // ago. It returns the newest known table, and whether it is confirmed.
 func (f *Follower) Confirm(ctx context.Context) (*routing.Table, bool) {
+	if f.Table() == nil {
+		return f.awaitReady(ctx)
+	}
 	if f.Age() < confirmedFor {
 		return f.Table(), true
 	}
@@ -118,6 +121,17 @@
 	}
 }
 
+// awaitReady lets the requests that reach a starting instance wait until it knows
+// the table and the servers.
+func (f *Follower) awaitReady(ctx context.Context) (*routing.Table, bool) {
+	select {
+	case <-f.ready:
+		return f.Table(), true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // confirm moves the time up to which the view is confirmed; it never goes back.
 func (f *Follower) confirm(at time.Time) {
 	for {
@@ -162,10 +176,13 @@
 // takeAll takes over a complete list.
 func (f *Follower) takeAll(b Batch, origin string) {
 	var entries []directory.Entry
+	var table *routing.Table
 	for _, item := range b.Items {
 		decoded := f.decoder.Decode(item)
 		f.logUnusable(item, decoded)
-		f.adopt(decoded.Table, origin)
+		if decoded.Table != nil {
+			table = decoded.Table
+		}
 		if decoded.Entry != nil {
 			entries = append(entries, *decoded.Entry)
 		}
@@ -174,6 +191,8 @@
 	for _, change := range f.directory.Replace(entries) {
 		f.logChange(change, b.Revision)
 	}
+	// Only now, since requests wait for the table and need the servers as well.
+	f.adopt(table, origin)
 	staying, leaving := f.directory.Count()
 	f.logger.Info("store read", "origin", origin, "revision", b.Revision, "backend_servers", staying, "leaving", leaving)
 	f.becomeReady()
--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
 )
 
 const soon = time.Second // far below the 3 s in which a change takes effect
@@ -89,6 +92,24 @@
 	})
 }
 
+// The pattern: all instances have lost power and callers wait for the first one.
+// Guards against answering them by a table without its servers.
+func TestRequestsOfAStartingInstanceWaitForTableAndServers(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		f := NewFollower(store, noPeers{}, fakeDecoder{}, directory.New(3*time.Second, time.Now), slog.New(slog.DiscardHandler))
+		known := make(chan string, 1)
+		go func() {
+			_, _ = f.Confirm(ctx)
+			known <- servers(f)
+		}()
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			_ = f.Serve(ctx)
+		}()
+		assert.Equal(t, <-known, "a b")
+	})
+}
+
 // Guards against calls that flood a store which is away.
 func TestCallsAreSpacedWhileTheStoreIsAway(t *testing.T) {
 	simulate(t, func(ctx context.Context, store *fakeStore) {
