Explain a request from logs, reload settings, check relay settings

Cause: on-call engineers have only logs and metrics; SIGHUP was taken without effect, and the settings may also change without a signal.

Change: sycamorelift explain REQUEST-ID FILE... orders the lines of a request by hops and says in one sentence which rule or shortage decided it; a table test fails for a reason that leaves no line. Settings are read at SIGHUP and every 5 s; new seeds take effect, anything else at the next start, broken settings never. sycamorelift settings check [--relay] FILE prints every finding. Two reasons that nothing uses are removed.

--- a/pkg/cli/command.go
+++ b/pkg/cli/command.go
@@ -1,5 +1,5 @@
 // Package cli is the command tree of the command-line tool: bundle, search,
-// submit, status and version. Other packages' commands, such as demo and
+// submit, status, settings, explain and version. Other packages' commands, such as demo and
 // experiment, are given to Run by the main package.
 package cli
 
@@ -33,6 +33,10 @@
 		{Name: "search", Short: "Search through a running instance", Data: &searchCommand{Streams: streams}},
 		{Name: "submit", Short: "Submit a request that runs at most once", Long: submitHelp, Data: &submitCommand{Streams: streams}},
 		{Name: "status", Short: "Show the status of a running instance", Data: &statusCommand{Streams: streams}},
+		{Name: "settings", Short: "Work with settings files", Data: &group{}, Subcommands: []Command{
+			{Name: "check", Short: "Check a settings file and print every finding", Data: &settingsCheckCommand{Streams: streams}},
+		}},
+		{Name: "explain", Short: "Tell from the logs of instances what decided a request", Data: &explainCommand{Streams: streams}},
 		{Name: "version", Short: "Show the version of this tool", Data: &versionCommand{Streams: streams}},
 	}
 }
--- /dev/null
+++ b/pkg/explain/line.go
@@ -0,0 +1,67 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// Line is one log record that names the request.
+type Line struct {
+	Instance string         `json:"instance"`
+	Message  string         `json:"msg"`
+	Fields   map[string]any `json:"fields"` // everything else, as written
+}
+
+// Read returns the records of a log that name the request, in their order. Text
+// before the record on a line, and lines without a record, are passed over.
+func Read(r io.Reader, requestID string) ([]Line, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	var lines []Line
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		start := bytes.IndexByte(text, '{')
+		if start < 0 || !bytes.Contains(text, []byte(requestID)) {
+			continue
+		}
+		fields := map[string]any{}
+		if err := json.Unmarshal(text[start:], &fields); err != nil || fields["request_id"] != requestID {
+			continue
+		}
+		line := Line{Fields: fields}
+		line.Instance, _ = fields["instance"].(string)
+		line.Message, _ = fields["msg"].(string)
+		for _, shown := range []string{"instance", "msg", "request_id"} {
+			delete(fields, shown)
+		}
+		lines = append(lines, line)
+	}
+	return lines, eris.Wrap(scanner.Err(), "read log")
+}
+
+func (l Line) text(name string) string {
+	s, _ := l.Fields[name].(string)
+	return s
+}
+
+func (l Line) number(name string) float64 {
+	n, _ := l.Fields[name].(float64)
+	return n
+}
+
+func (l Line) flag(name string) bool {
+	b, _ := l.Fields[name].(bool)
+	return b
+}
+
+func (l Line) list(name string) []any {
+	items, _ := l.Fields[name].([]any)
+	return items
+}
--- a/pkg/forward/reason.go
+++ b/pkg/forward/reason.go
@@ -16,7 +16,11 @@
 	TimedOut        Reason = "timed-out"         // the caller's time or the route's timeout has passed
 	AnswerLost      Reason = "answer-lost"       // a server may have run the request; its answer is lost
 	CallerLeft      Reason = "caller-left"       // nobody waits any more
-	Quarantined     Reason = "quarantined"       // the request has crashed backend servers
-	OverloadedHere  Reason = "overloaded"        // shortage: this instance has no processor time left
 	ViewUnconfirmed Reason = "view-unconfirmed"  // no route matches, in a table that may be old
 )
+
+// Reasons lists all reasons.
+var Reasons = []Reason{
+	NoTable, NoRoute, BodyTooLarge, BadRequest, NoServer, ServersRefused, TooFewShards,
+	TimedOut, AnswerLost, CallerLeft, ViewUnconfirmed,
+}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -115,8 +115,8 @@
 func TestStatusOfRefusals(t *testing.T) {
 	for reason, want := range map[forward.Reason][2]int{ // not run, may have run
 		forward.NoServer: {503, 502}, forward.ServersRefused: {503, 502}, forward.TooFewShards: {503, 502},
-		forward.TimedOut: {503, 504}, forward.AnswerLost: {503, 502}, forward.OverloadedHere: {503, 502},
-		forward.Quarantined: {503, 502}, forward.NoTable: {503, 502}, forward.ViewUnconfirmed: {503, 502},
+		forward.TimedOut: {503, 504}, forward.AnswerLost: {503, 502},
+		forward.NoTable: {503, 502}, forward.ViewUnconfirmed: {503, 502},
 		forward.NoRoute: {404, 404}, forward.BodyTooLarge: {413, 413}, forward.BadRequest: {400, 400}, forward.CallerLeft: {503, 502},
 	} {
 		assert.Equal(t, refusalStatus(&forward.Refusal{Reason: reason, NotRun: true}), want[0], "%s", reason)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/lifecycle"
 	"github.com/sycamorelift/sycamorelift/pkg/peering"
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
+	"github.com/sycamorelift/sycamorelift/pkg/settings"
 	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
 
@@ -39,6 +41,7 @@
 // Relay is one instance.
 type Relay struct {
 	options   Options
+	settings  atomic.Pointer[settings.Relay] // in force; replaced by a reload
 	logger    *slog.Logger
 	directory *directory.Directory
 	follower  *feed.Follower
@@ -61,6 +64,7 @@
 		logger:   options.Logger,
 		registry: telemetry.NewRegistry(s.Instance.ID),
 	}
+	r.settings.Store(s)
 	r.members = peering.NewMembers(peering.Member{
 		ID:          s.Instance.ID,
 		Zone:        s.Instance.Zone,
@@ -122,7 +126,7 @@
 		Sharing:   r.members,
 	})
 	r.warmer = &warmer{zone: s.Instance.Zone, directory: r.directory, follower: r.follower, engine: engine, sender: r.sender}
-	r.exchanger = peering.NewExchanger(r.members, r.client, relays, func() []string { return s.Seeds })
+	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.seeds)
 	peers := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
 	callers := r.lifecycle.Handler(gateway.New(r.options.Codec, r.follower, engine, recorder))
--- /dev/null
+++ b/pkg/settings/relay_test.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const relayYAML = `instance: {id: edge-a-1, zone: a, region: r}
+listen: {caller: 10.1.0.9:8104, readiness: 10.1.0.9:8108, peer: 10.1.0.9:8106, operator: 10.1.0.9:9464}
+seeds: ["10.1.0.9:8106"]
+store: "10.200.1.7:8102"
+cores: 0.4
+memory_mb: 284
+bounds: {drain: 3000ms, grace: 6s, extra_ratio: 0.2, extra_allowance: 54, extra_window: 10s}
+`
+
+// Guards against settings that are read into other fields.
+func TestRelaySettings(t *testing.T) {
+	got, err := ParseRelay("relay.yaml", []byte(relayYAML))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *got, Relay{
+		Instance: Instance{ID: "edge-a-1", Zone: "a", Region: "r"},
+		Listen:   RelayListen{Caller: "10.1.0.9:8104", Readiness: "10.1.0.9:8108", Peer: "10.1.0.9:8106", Operator: "10.1.0.9:9464"},
+		Seeds:    []string{"10.1.0.9:8106"},
+		Store:    "10.200.1.7:8102",
+		Memory:   284 << 20,
+		Cores:    0.4,
+		Bounds:   RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second},
+	})
+}
+
+// Guards against reporting one finding at a time, or none.
+func TestRelaySettingsReportEveryFinding(t *testing.T) {
+	broken := strings.NewReplacer("cores: 0.4", "cores: -1", "grace: 6s", "grace: 6", "10.200.1.7:8102", "store", "zone: a", "zone: 7").Replace(relayYAML)
+	_, err := ParseRelay("relay.yaml", []byte(broken))
+	for _, place := range []string{"relay.yaml:1:", "instance.zone", "relay.yaml:4:", "store", "cores", "bounds.grace"} {
+		assert.ErrorContains(t, err, place)
+	}
+	assert.Equal(t, strings.Count(err.Error(), "\n"), 3)
+}
