Do not give up a relay while this instance itself is starved

A weak instance read nothing for 70 ms, gave up a relay that had accepted long before and had hedged meanwhile, and asked a server itself.

Change: a timer that fires late shows the starvation; the relay then has until the answer is due, and counts as having asked two servers. Ruled out: relays that are given up in time (their hedge comes after that).

--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -13,9 +13,9 @@
 	// shortestAccept covers a new connection between zones.
 	shortestAccept = 28 * time.Millisecond
 	// starvedBy is the delay of a timer that shows that this instance itself got no
-	// processor time; acceptances may then wait to be read for starvedGrace.
-	starvedBy    = 5 * time.Millisecond
-	starvedGrace = 30 * time.Millisecond
+	// processor time. The acceptance then mostly waits to be read, and the relay has
+	// until the answer is due.
+	starvedBy = 5 * time.Millisecond
 	// relayMargin is how much earlier than the answer the relay's parts are due:
 	// the way there and back.
 	relayMargin = 16 * time.Millisecond
@@ -30,7 +30,7 @@
 	taken    []bool // legs that have their result
 	extra    bool
 	began    time.Time
-	grace    time.Duration // added to the wait for the acceptance
+	starved  bool // the wait for the acceptance was extended
 	accepted bool
 	ended    bool
 	cancel   context.CancelFunc
@@ -112,7 +112,10 @@
 
 // acceptBy is when a group has to be accepted.
 func (r *run) acceptBy(g *group) time.Time {
-	return g.began.Add(g.grace + max(time.Duration(acceptShare*float64(r.route.Target)), shortestAccept))
+	if g.starved {
+		return r.timing.cutoff
+	}
+	return g.began.Add(max(time.Duration(acceptShare*float64(r.route.Target)), shortestAccept))
 }
 
 // giveUpGroups asks directly where a relay has not accepted in time.
@@ -122,12 +125,18 @@
 		if g.ended || g.accepted || now.Before(due) {
 			continue
 		}
-		if g.grace == 0 && now.Sub(due) > starvedBy {
-			g.grace = now.Sub(due) + starvedGrace
+		if !g.starved && now.Sub(due) > starvedBy {
+			g.starved = true
+			if now.Before(r.timing.cutoff) {
+				continue
+			}
+		}
+		g.cancel()
+		if g.starved {
+			r.endGroup(g, "acceptance of relay not read in time", askedWithHedge)
 			continue
 		}
 		g.relay.Failed()
-		g.cancel()
 		r.endGroup(g, "relay did not accept", 1)
 	}
 }
@@ -181,6 +190,10 @@
 	}
 }
 
+// askedWithHedge is the number of servers that a relay may have asked for a leg
+// after its hedge delay.
+const askedWithHedge = 2
+
 // askedBy is the number of servers that a relay may have asked for each leg when
 // its call failed.
 func (r *run) askedBy(g *group, err error) int {
@@ -189,7 +202,7 @@
 	case errors.As(err, &call) && !call.Sent:
 		return 0
 	case !g.extra && time.Since(g.began) >= r.timing.hedge:
-		return 2 // it may have hedged
+		return askedWithHedge
 	default:
 		return 1
 	}
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -236,3 +236,31 @@
 		assert.Assert(t, 2*total <= size.accepted, "%+v: %d", size, total)
 	}
 }
+
+// The pattern: this instance gets no processor time for some tens of milliseconds.
+// Guards against giving up a relay whose acceptance only waits to be read: requests
+// ran on three servers of a shard where two are allowed.
+func TestStarvedInstanceDoesNotGiveUpItsRelay(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.onlyThere(3)
+		request := &Request{ID: "id", Arrived: time.Now()}
+		r := newRun(w.engine, route, request, func(string) int { return 0 })
+		defer r.release()
+		p := w.addPeer()
+		g := &group{zone: there, relay: p, legs: r.legs, began: time.Now(), taken: make([]bool, 3), cancel: func() {}}
+		r.groups = append(r.groups, g)
+		for _, l := range r.legs {
+			l.arrivals, l.running = 1, 1 // as enqueue counts them
+		}
+		due := r.acceptBy(g)
+		r.giveUpGroups(due.Add(starvedBy + time.Millisecond))
+		assert.Assert(t, g.starved && !g.ended)
+		r.giveUpGroups(r.timing.cutoff)
+		assert.Assert(t, g.ended)
+		assert.Equal(t, p.failed, 0)
+		for _, l := range r.legs {
+			assert.Equal(t, l.arrivals, askedWithHedge)
+		}
+		assert.Equal(t, w.arrived(), 0)
+	})
+}
