--- /dev/null
+++ b/test/soak/process_test.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamorelift/sycamorelift/platform/platformtest"
+)
+
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 6 * time.Second
+
+// process is one instance, restarted after each end.
+type process struct {
+	id, zone, settings, log        string
+	caller, readiness, peer, store string
+
+	mu       sync.Mutex
+	command  *exec.Cmd
+	exited   chan struct{} // closed when the current command has ended
+	expected bool          // the soak has ended it
+	ends     []string      // ends that nobody caused
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newProcess(t *testing.T, dir, id, zone, store string) *process {
+	return &process{
+		id: id, zone: zone, store: store,
+		settings: filepath.Join(dir, id+".yaml"), log: filepath.Join(dir, id+".log"),
+		caller: freeAddress(t), readiness: freeAddress(t), peer: freeAddress(t),
+	}
+}
+
+func (p *process) writeSettings(t *testing.T, seeds string) {
+	text := fmt.Sprintf(`instance: {id: %s, zone: %s, region: r}
+listen: {caller: %q, readiness: %q, peer: %q, operator: %q}
+seeds: [%s]
+store: %q
+memory_mb: 284
+cores: 0.4
+bounds: {drain: 3s, grace: 6s, extra_ratio: 0.2, extra_allowance: 50, extra_window: 10s}
+`, p.id, p.zone, p.caller, p.readiness, p.peer, freeAddress(t), seeds, p.store)
+	assert.NilError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+}
+
+// start runs the binary and follows its end.
+func (p *process) start(binary string) error {
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command(binary)
+	command.Env = append(os.Environ(), platformtest.SettingsVariable+"="+p.settings)
+	command.Stdout, command.Stderr = log, log
+	// Also a soak that is ended from outside leaves no process behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.command, p.exited, p.expected = command, exited, false
+	p.mu.Unlock()
+	go func() {
+		err := command.Wait()
+		p.mu.Lock()
+		if !p.expected {
+			p.ends = append(p.ends, fmt.Sprint(err))
+		}
+		p.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal reaches only the process that was started here.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.expected = true
+	}
+	_ = p.command.Process.Signal(s) // it may have ended meanwhile
+}
+
+func (p *process) ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+// stop ends the process as the platform does.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended():
+	case <-time.After(grace):
+		p.kill()
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended()
+}
+
+func (p *process) unexpectedEnds() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ends
+}
