Let a weak instance keep its relay until the answer is due

Change: an instance that hands its shards to a stronger one waits for it until the answer is due, reports it at once, so that the next requests go elsewhere, and asks no server in its place.

--- a/pkg/feed/cycle.go
+++ b/pkg/feed/cycle.go
@@ -41,7 +41,7 @@
 func (c *cycle) step(ctx context.Context) time.Duration {
 	source, ok := c.source(time.Now())
 	if !ok {
-		return c.retry.Sub(time.Now())
+		return time.Until(c.retry)
 	}
 	asked := time.Now()
 	batch, err := c.ask(ctx, source)
--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -33,7 +33,7 @@
 	taken    []bool // legs that have their result
 	extra    bool
 	began    time.Time
-	starved  bool // the wait for the acceptance was extended
+	starved  bool // the wait for the acceptance was extended to the cutoff
 	accepted bool
 	ended    bool
 	cancel   context.CancelFunc
@@ -133,8 +133,11 @@
 		if g.ended || g.accepted || now.Before(due) {
 			continue
 		}
-		if !g.starved && now.Sub(due) > starvedBy {
+		if !g.starved && (r.weak || now.Sub(due) > starvedBy) {
 			g.starved = true
+			if r.weak {
+				g.relay.Failed()
+			}
 			if now.Before(r.timing.cutoff) {
 				continue
 			}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -108,7 +108,9 @@
 		if g := r.unsentFor(server.Zone); g != nil {
 			return g.zone, g.relay
 		}
-		return server.Zone, r.engine.relays.Stronger()
+		stronger := r.engine.relays.Stronger()
+		r.weak = r.weak || stronger != nil
+		return server.Zone, stronger
 	}
 	zone := server.Zone
 	if why == first && r.relayZone != "" && hasServerIn(l.servers, r.relayZone) {
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -305,3 +305,19 @@
 		assert.Assert(t, at[1]-at[0] >= wait+cancelDelay, "hedged after %v", at[1]-at[0])
 	})
 }
+
+// The pattern: a weak instance, whose stronger neighbour is slow to accept. Guards
+// against asking the servers itself as well: it would be late and reach third servers.
+func TestWeakInstanceKeepsItsRelay(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.sharded(5, 0.89)
+		p := w.addPeer()
+		w.relays[here], w.relays[there] = p, nil
+		p.silent = true
+		answer, took := w.ask(background, route)
+		assert.Assert(t, answer.Refusal != nil)
+		assert.Assert(t, took <= route.Target, "took %v", took)
+		assert.Equal(t, w.arrived(), 0)
+		assert.Equal(t, p.failed, 1)
+	})
+}
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -20,12 +20,15 @@
 	// maxConnections is the number of connections that a server of a service
 	// accepts from all instances.
 	maxConnections func(service string) int
-	relayed        bool // on behalf of another instance; nothing is relayed again at first
-	paid           bool // each attempt is beyond the first and paid for by the sender
-	request        *Request
-	timing         timing
-	legs           []*leg
-	trace          Trace
+	// weak is set when this instance hands the shards of its zone to a stronger one.
+	// It reads acceptances late and could not ask the servers itself in time.
+	weak    bool
+	relayed bool // on behalf of another instance; nothing is relayed again at first
+	paid    bool // each attempt is beyond the first and paid for by the sender
+	request *Request
+	timing  timing
+	legs    []*leg
+	trace   Trace
 
 	ctx     context.Context // of the attempts
 	cancel  context.CancelFunc
--- a/pkg/forward/world_test.go
+++ b/pkg/forward/world_test.go
@@ -33,10 +33,9 @@
 	engine    *Engine
 	relays    map[string]Relay // by zone
 
-	mu        sync.Mutex
-	servers   map[string]behaviour // by id; answering after work when not stated
-	arrivals  []string             // "service server" in order
-	cancelled int                  // calls that ended by their context
+	mu       sync.Mutex
+	servers  map[string]behaviour // by id; answering after work when not stated
+	arrivals []string             // "service server" in order
 }
 
 var testLimits = extras.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second}
