Split the start of attempts and let every attempt end

Cause: found while reading: the channel of results has room for the usual servers of a service; attempts at leaving servers could find none after the request had ended, and their goroutines would stay. Ruled out: a wrong answer, as no result is read after the end.

Change: a result that finds no room is dropped when the request's time is over. The start of an attempt is split into first and extra attempts; wording.

--- a/pkg/feed/cycle.go
+++ b/pkg/feed/cycle.go
@@ -66,7 +66,7 @@
 
 // source is the zone's reader; the store when this instance is the reader or the
 // reader has failed; any other instance while the store fails. It returns false
-// when there is nobody to ask before the store may be called again.
+// when there is no other source before the store may be called again.
 func (c *cycle) source(now time.Time) (followed, bool) {
 	f := c.follower
 	if now.After(c.direct) {
--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -105,7 +105,7 @@
 		defer cancel()
 		send := func(e groupEvent) {
 			e.group = g
-			r.groupEvents <- e
+			deliver(r.ctx, r.groupEvents, e)
 		}
 		err := g.relay.Gather(ctx, call, func() { send(groupEvent{}) }, func(result *PartsResult) { send(groupEvent{result: result}) })
 		if err != nil {
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -36,26 +37,42 @@
 	if !ok || why == hedge && (choice.Paused || choice.Ejected) {
 		return false
 	}
-	extra := l.arrivals > 0 || r.paid
-	if extra && !r.paid && !r.spend(l, now) {
+	if l.arrivals == 0 && !r.paid {
+		r.startFirst(l, choice.Server, why, now)
+		return true
+	}
+	if !r.paid && !r.spend(l, now) {
 		return false
 	}
-	if !extra && !l.counted {
+	r.startExtra(l, choice.Server, why, now)
+	return true
+}
+
+// startFirst starts an attempt before which no server has been reached. It earns
+// budget where it is executed: here, or at the relay that it is handed to.
+func (r *run) startFirst(l *leg, server *directory.Server, why purpose, now time.Time) {
+	if !l.counted {
 		l.counted = true
-		if zone, relay := r.relayFor(l, choice.Server, why); relay != nil {
+		if zone, relay := r.relayFor(l, server, why); relay != nil {
 			r.enqueue(l, zone, relay, false, now)
-			return true
+			return
 		}
 		r.engine.budget.Request(l.service, now)
-	} else if zone, relay := r.relayFor(l, choice.Server, why); relay != nil && extra {
-		l.tried = append(l.tried, choice.Server.ID)
+	}
+	r.begin(l, server, now)
+	r.countExtra(l, why, server.ID)
+}
+
+// startExtra starts an attempt beyond the first, which is paid for.
+func (r *run) startExtra(l *leg, server *directory.Server, why purpose, now time.Time) {
+	if zone, relay := r.relayFor(l, server, why); relay != nil {
+		l.tried = append(l.tried, server.ID)
 		r.countExtra(l, why, relay.ID())
 		r.enqueue(l, zone, relay, true, now)
-		return true
+		return
 	}
-	r.begin(l, choice.Server, now)
-	r.countExtra(l, why, choice.Server.ID)
-	return true
+	r.begin(l, server, now)
+	r.countExtra(l, why, server.ID)
 }
 
 // spend charges one more attempt of a leg to the budget.
@@ -201,7 +218,21 @@
 		res.err = &CallError{Sent: true, Detail: "call failed", Cause: err}
 	}
 	observed.End(outcomeOf(reply, r.ctx.Err()), time.Now())
-	r.results <- res
+	deliver(r.ctx, r.results, res)
+}
+
+// deliver passes on what a request is told unless its time is over: then nothing
+// reads the channel any more.
+func deliver[T any](ctx context.Context, to chan<- T, what T) {
+	select {
+	case to <- what:
+		return
+	default:
+	}
+	select {
+	case to <- what:
+	case <-ctx.Done():
+	}
 }
 
 func outcomeOf(reply *Reply, ended error) replicas.Outcome {
--- a/pkg/forward/reason.go
+++ b/pkg/forward/reason.go
@@ -15,7 +15,7 @@
 	TooFewShards    Reason = "too-few-shards"    // shortage: fewer shards than the route requires
 	TimedOut        Reason = "timed-out"         // the caller's time or the route's timeout has passed
 	AnswerLost      Reason = "answer-lost"       // a server may have run the request; its answer is lost
-	CallerLeft      Reason = "caller-left"       // nobody waits any more
+	CallerLeft      Reason = "caller-left"       // the caller has closed its connection
 	ViewUnconfirmed Reason = "view-unconfirmed"  // no route matches, in a table that may be old
 )
 
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -33,11 +33,11 @@
 	ctx     context.Context // of the attempts
 	cancel  context.CancelFunc
 	pending atomic.Int32 // the request itself and its running attempts
-	results chan result  // has room for all attempts, so that none waits
+	results chan result  // has room for all usual attempts
 
 	unsent      []*group
 	groups      []*group
-	groupEvents chan groupEvent // has room for all events
+	groupEvents chan groupEvent // has room for all usual events
 	merged      [][]byte        // bodies of the groups' parts
 	relayZone   string          // for legs without a server in this zone
 
@@ -57,18 +57,18 @@
 		timing:         newTiming(route, request, e.usual(route)),
 		legs:           make([]*leg, len(services)),
 	}
-	capacity := 0
+	servers := 0
 	for i, service := range services {
-		servers := e.directory.Servers(service)
-		r.legs[i] = &leg{index: i, service: service, servers: servers}
-		capacity += len(servers)
+		usable := e.directory.Servers(service)
+		r.legs[i] = &leg{index: i, service: service, servers: usable}
+		servers += len(usable)
 	}
 	if route.Sharded() {
 		r.trace.Shards = len(services)
 	} else {
 		r.trace.Service = services[0]
 	}
-	r.results = make(chan result, capacity)
+	r.results = make(chan result, servers)
 	r.groupEvents = make(chan groupEvent, groupEventsPerLeg*len(services))
 	// Attempts outlive the answer: one that lost against a hedge ends normally,
 	// which keeps its connection and shows how long the server took.
@@ -137,8 +137,8 @@
 			return false
 		}
 		if ctx.Err() != nil {
-			// Several events at once come in no order; nothing new is started for a
-			// request that nobody waits for.
+			// Several events at once come in no order; nothing new is started after the
+			// caller has left.
 			r.cancel()
 			return false
 		}
--- a/pkg/forward/single_test.go
+++ b/pkg/forward/single_test.go
@@ -20,7 +20,7 @@
 }
 
 // Guards against a second run of a request that may run only once: after its
-// answer is lost nobody else is asked, and nothing is promised.
+// answer is lost no other server is asked, and nothing is promised.
 func TestLostAnswerOfUnrepeatableRequest(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
 		route := w.single(false)
@@ -133,3 +133,21 @@
 		})
 	})
 }
+
+// Guards against attempts that never end because their result finds no room: a server
+// that leaves is not among the usual ones for which there is room.
+func TestAttemptAtALeavingServerEnds(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.single(false)
+		w.set("one.a", unreachable)
+		w.set("one.b", unreachable)
+		for n := range 3 {
+			id := "one." + string(rune('c'+n))
+			w.addServer("one", id, here)
+			w.directory.Remove(id)
+			w.set(id, silent)
+		}
+		answer, _ := w.ask(background, route)
+		assert.Equal(t, answer.Refusal.Reason, TimedOut)
+	})
+}
--- a/pkg/peering/members.go
+++ b/pkg/peering/members.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// forgetAfter is the age at which a member that nobody has heard of counts as
-	// gone. With an exchange each half second, news of a live member reach 80
+	// forgetAfter is the age at which a member that no instance has heard of counts
+	// as gone. With an exchange each half second, news of a live member reach 80
 	// instances within about 5 s.
 	forgetAfter = 12 * time.Second
 	// failuresToSuspect is the number of failures in a row after which a member gets
@@ -47,7 +47,7 @@
 
 type known struct {
 	Member
-	heard    time.Time // when somebody last heard of it, in this instance's clock
+	heard    time.Time // when any instance last heard of it, in this instance's clock
 	failures int       // in a row
 	suspect  time.Time // end of the suspicion
 }
@@ -73,7 +73,7 @@
 	m.leaving = true
 }
 
-// Learn takes over that somebody heard of a member the given time ago.
+// Learn takes over that some instance heard of a member the given time ago.
 func (m *Members) Learn(member Member, age time.Duration) {
 	if member.ID == "" || member.ID == m.self.ID || age >= forgetAfter {
 		return
@@ -149,7 +149,7 @@
 	return out
 }
 
-// Listed returns all members with the time since somebody heard of them.
+// Listed returns all members with the time since any instance heard of them.
 func (m *Members) Listed() ([]Member, []time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/peering/server.go
+++ b/pkg/peering/server.go
@@ -51,7 +51,7 @@
 }
 
 // parts answers a call for parts. The header goes out at once, so that the caller
-// knows within a round trip that somebody works on it.
+// knows within a round trip that this instance works on it.
 func (s *Server) parts(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
