Let a success at any instance clear a request that a poison request crashed with

Cause: an innocent request in flight on both servers that a poison request took down had the same two crashes, and the owners that judge it had not seen it succeed.

Change: an instance to which a reported suspect is known good reports the success; such a request is not blamed for a crash at which an unproven one was in flight, as was the rule within one instance.

Ruled out: a trial run of suspects, which the bound on poison requests forbids.

TestSuccessElsewhereSeparatesInnocentFromPoison failed before. A request that has never succeeded anywhere is still quarantined with the poison (docs/proofs.md).

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -68,7 +68,9 @@
 }
 
 func (g *Guard) judgeLocked(fingerprint uint64, crashes []crash) verdict {
-	return judge(crashes, func(c crash) bool { return g.losses.explain(fingerprint, c) })
+	return judge(crashes, func(c crash) bool {
+		return g.losses.explain(fingerprint, c) || g.causedByOtherLocked(fingerprint, c)
+	})
 }
 
 // Begin records that a request is sent to a backend server.
@@ -93,7 +95,7 @@
 		reports = g.crashedLocked(fingerprint, serverID, now)
 	case OutcomeOK:
 		g.losses.up(serverID)
-		g.markGoodLocked(fingerprint, now)
+		reports = g.markGoodLocked(fingerprint, now)
 	}
 	g.inFlight.end(fingerprint, serverID)
 	return reports, g.onReport
--- a/pkg/crashguard/guard_test.go
+++ b/pkg/crashguard/guard_test.go
@@ -43,7 +43,12 @@
 		w.guards[zone].OnReport(func(r Report) {
 			w.pending = append(w.pending, func() {
 				for other, guard := range w.guards {
-					if other != zone {
+					if other == zone {
+						continue
+					}
+					if r.Succeeded {
+						guard.LearnGood(r.Fingerprint, r.Observed)
+					} else {
 						guard.Learn(r.Fingerprint, r.ServerID, r.Zone, r.Observed)
 					}
 				}
--- a/pkg/crashguard/rules_test.go
+++ b/pkg/crashguard/rules_test.go
@@ -183,3 +183,56 @@
 		wantRefusal(t, g.Admit(5, 1, epoch.Add(time.Minute)), false, false)
 	}
 }
+
+// connect delivers each guard's reports to all others at once.
+func connect(guards ...*Guard) {
+	for _, from := range guards {
+		from.OnReport(func(r Report) {
+			for _, to := range guards {
+				switch {
+				case to == from:
+				case r.Succeeded:
+					to.LearnGood(r.Fingerprint, r.Observed)
+				default:
+					to.Learn(r.Fingerprint, r.ServerID, r.Zone, r.Observed)
+				}
+			}
+		})
+	}
+}
+
+// Guards against quarantine of a request that was in flight on both servers that
+// a poison request took down, where neither owner has seen it succeed but a third
+// instance has, before or after.
+func TestSuccessElsewhereSeparatesInnocentFromPoison(t *testing.T) {
+	const innocent = 1
+	for _, name := range []string{"before", "long before", "after"} {
+		t.Run(name, func(t *testing.T) {
+			first, second, third := New(), New(), New()
+			connect(first, second, third)
+			switch name {
+			case "before":
+				third.MarkGood(innocent, epoch.Add(-time.Second))
+			case "long before":
+				third.MarkGood(innocent, epoch.Add(-time.Hour))
+			}
+			now := epoch
+			for i, g := range []*Guard{first, second} {
+				now = now.Add(3 * time.Second)
+				s := replica(fmt.Sprint("s", i), fmt.Sprint(i))
+				g.Begin(innocent, s, now)
+				g.Begin(poison, s, now)
+				g.End(innocent, s.ID, OutcomeCrashed, now)
+				g.End(poison, s.ID, OutcomeCrashed, now)
+			}
+			now = now.Add(3 * time.Second)
+			if name == "after" {
+				third.MarkGood(innocent, now)
+			}
+			for _, g := range []*Guard{first, second, third} {
+				wantRefusal(t, g.Admit(innocent, 2, now), false, false)
+				wantRefusal(t, g.Admit(poison, 2, now), true, false)
+			}
+		})
+	}
+}
--- a/pkg/crashguard/suspicion.go
+++ b/pkg/crashguard/suspicion.go
@@ -43,19 +43,74 @@
 }
 
 // Learn adds a report of another instance, see Report. Observed is in this
-// instance's clock.
+// instance's clock. When the request has succeeded here, the others are told: to
+// them it may be as suspect as the one that crashed the server.
 func (g *Guard) Learn(fingerprint uint64, serverID, zone string, observed time.Time) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	lost := g.losses.reported(serverID, zone, observed)
+	reports := g.learnLocked(fingerprint, crash{serverID: serverID, zone: zone, at: observed})
+	notify := g.onReport
+	g.mu.Unlock()
+	send(reports, notify)
+}
+
+func (g *Guard) learnLocked(fingerprint uint64, c crash) []Report {
+	lost := g.losses.reported(c.serverID, c.zone, c.at)
 	if fingerprint == 0 {
-		return
+		return nil
 	}
 	lost.running[fingerprint] = struct{}{}
-	if g.good.succeededSince(fingerprint, observed) {
+	if !g.good.succeededSince(fingerprint, c.at) {
+		g.incriminateLocked(fingerprint, c)
+	}
+	at, good := g.good.get(fingerprint)
+	if !good {
+		return nil
+	}
+	return []Report{{Fingerprint: fingerprint, ServerID: c.serverID, Zone: c.zone, Observed: reportedSuccess(at, c), Succeeded: true}}
+}
+
+// reportedSuccess is the time of a success in a report. Old reports are dropped on
+// their way, so one from long before the crash is dated shortly before it; the
+// distance covers the uncertainty of reported times.
+func reportedSuccess(at int64, c crash) time.Time {
+	success, latest := time.Unix(0, at), c.at.Add(-sameCrashWindow)
+	if success.Before(latest) {
+		return latest
+	}
+	return success
+}
+
+// LearnGood adds another instance's report that a request has succeeded. At is
+// in this instance's clock.
+func (g *Guard) LearnGood(fingerprint uint64, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.good.succeededSince(fingerprint, at) {
 		return
 	}
-	g.incriminateLocked(fingerprint, crash{serverID: serverID, zone: zone, at: observed})
+	g.good.add(fingerprint, at)
+	if s := g.suspects[fingerprint]; s != nil && !s.last().After(at) {
+		g.clearLocked(fingerprint)
+	}
+}
+
+// causedByOtherLocked reports whether a request that has succeeded is suspected
+// of a crash at which another one was in flight that has not.
+func (g *Guard) causedByOtherLocked(fingerprint uint64, c crash) bool {
+	if !g.good.has(fingerprint) {
+		return false
+	}
+	for _, lost := range g.losses.history {
+		if lost.serverID != c.serverID || !within(lost.at, c.at, sameCrashWindow) {
+			continue
+		}
+		for other := range lost.running {
+			if !g.good.has(other) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // KnownGood reports whether the request has succeeded and is not suspected, so
@@ -69,8 +124,10 @@
 // MarkGood records that the request has succeeded. OutcomeOK implies it.
 func (g *Guard) MarkGood(fingerprint uint64, now time.Time) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.markGoodLocked(fingerprint, now)
+	reports := g.markGoodLocked(fingerprint, now)
+	notify := g.onReport
+	g.mu.Unlock()
+	send(reports, notify)
 }
 
 // CanaryShard returns the shard that a request not yet known to be good is
@@ -86,12 +143,21 @@
 	return canaryReplicas(fingerprint, replicas)
 }
 
-func (g *Guard) markGoodLocked(fingerprint uint64, now time.Time) {
+// markGoodLocked returns the reports that clear a suspect at other instances.
+func (g *Guard) markGoodLocked(fingerprint uint64, now time.Time) []Report {
 	g.good.add(fingerprint, now)
-	if _, ok := g.suspects[fingerprint]; ok {
-		delete(g.suspects, fingerprint)
-		g.forgetOrderLocked(fingerprint)
+	s := g.suspects[fingerprint]
+	if s == nil {
+		return nil
 	}
+	latest := s.crashes[len(s.crashes)-1]
+	g.clearLocked(fingerprint)
+	return []Report{{Fingerprint: fingerprint, ServerID: latest.serverID, Zone: latest.zone, Observed: now, Succeeded: true}}
+}
+
+func (g *Guard) clearLocked(fingerprint uint64) {
+	delete(g.suspects, fingerprint)
+	g.forgetOrderLocked(fingerprint)
 }
 
 // incriminateLocked reports whether the crash was new.
@@ -116,8 +182,7 @@
 		return nil
 	}
 	if now.Sub(s.last()) >= QuarantineTime {
-		delete(g.suspects, fingerprint)
-		g.forgetOrderLocked(fingerprint)
+		g.clearLocked(fingerprint)
 		return nil
 	}
 	return s
--- a/pkg/instance/notices.go
+++ b/pkg/instance/notices.go
@@ -15,7 +15,8 @@
 	i.guard.OnReport(func(report crashguard.Report) {
 		logCrash(i.logger, report)
 		i.plane.AddNotice(&peerpb.Notice{
-			Kind:        peerpb.Notice_REQUEST_CRASHED_SERVER,
+			Kind:        noticeKind(report),
+			AgeMs:       max(time.Since(report.Observed).Milliseconds(), 0),
 			Subject:     report.ServerID,
 			Fingerprint: report.Fingerprint,
 			Observer:    i.self.ID,
@@ -23,9 +24,21 @@
 	})
 }
 
+func noticeKind(report crashguard.Report) peerpb.Notice_Kind {
+	if report.Succeeded {
+		return peerpb.Notice_REQUEST_SUCCEEDED
+	}
+	return peerpb.Notice_REQUEST_CRASHED_SERVER
+}
+
 // logCrash records a lost backend server. A request that was in flight there is
 // only suspected: the server may have been lost for another reason.
 func logCrash(logger *slog.Logger, report crashguard.Report) {
+	if report.Succeeded {
+		logger.Info("suspected request has succeeded here",
+			"fingerprint", crashguard.FormatFingerprint(report.Fingerprint), "backend_server", report.ServerID)
+		return
+	}
 	if report.Fingerprint == 0 {
 		logger.Warn("backend server lost", "backend_server", report.ServerID)
 		return
@@ -48,5 +61,7 @@
 			zone = server.Zone
 		}
 		i.guard.Learn(notice.Fingerprint, notice.Subject, zone, observed)
+	case peerpb.Notice_REQUEST_SUCCEEDED:
+		i.guard.LearnGood(notice.Fingerprint, observed)
 	}
 }
