Give followers a change with its own age

A reader passed a change on to its followers before it had recorded the confirmation that came with it. Followers that ran first saw an age of up to 2.3 s, took the reader for one that has lost the store and called the store themselves.

Change: a batch is put in force, then its age is recorded, then it is passed on.

Ruled out: a bound that is too low; the test's bound is the product's own.

--- a/pkg/feed/cycle.go
+++ b/pkg/feed/cycle.go
@@ -52,8 +52,7 @@
 		return c.failed(err, source)
 	}
 	// Also a stale view may hold changes that this instance lacks.
-	c.take(batch, source)
-	c.confirm(batch, asked, source)
+	c.take(batch, c.confirmedAt(batch, asked, source), source)
 	if !source.store && batch.Age > staleAge {
 		return c.failed(&StaleError{Peer: source.id, Age: batch.Age}, source)
 	}
@@ -94,20 +93,29 @@
 	return source.Watch(ctx, c.revision, source.hold)
 }
 
-func (c *cycle) take(batch Batch, source followed) {
+// take puts a batch in force, records its age and only then passes it on, so that
+// those who follow this instance get it with its own age.
+func (c *cycle) take(batch Batch, confirmed time.Time, source followed) {
+	f := c.follower
 	if c.synced {
-		c.follower.takeChanges(batch, source.id)
+		fresh := f.journal.unknown(batch)
+		f.applyChanges(fresh, source.id)
+		f.confirm(confirmed)
+		f.journal.add(fresh, batch.Revision)
 	} else {
-		c.follower.takeAll(batch, source.id)
+		f.applyAll(batch, source.id)
+		f.confirm(confirmed)
+		f.journal.replace(batch)
 	}
+	f.becomeReady()
 	c.revision = max(c.revision, batch.Revision)
 	c.synced = true
 }
 
-// confirm records up to when the view is confirmed. The reply to a watch is made
+// confirmedAt is up to when a batch confirms the view. The reply to a watch is made
 // when a change happens or the hold ends, and arrives within replyDelay; a read is
 // as old as its question.
-func (c *cycle) confirm(batch Batch, asked time.Time, source followed) {
+func (c *cycle) confirmedAt(batch Batch, asked time.Time, source followed) time.Time {
 	at := asked
 	if recent := time.Now().Add(-replyDelay); recent.After(asked) {
 		at = recent
@@ -115,7 +123,7 @@
 	if !source.store {
 		at = at.Add(-batch.Age)
 	}
-	c.follower.confirm(at)
+	return at
 }
 
 // failed moves to another source: from the zone's reader to the store, and from the
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -173,8 +173,8 @@
 // String names the service in the supervisor's log.
 func (f *Follower) String() string { return "store follower" }
 
-// takeAll takes over a complete list.
-func (f *Follower) takeAll(b Batch, origin string) {
+// applyAll puts a complete list in force.
+func (f *Follower) applyAll(b Batch, origin string) {
 	var entries []directory.Entry
 	var table *routing.Table
 	for _, item := range b.Items {
@@ -187,7 +187,6 @@
 			entries = append(entries, *decoded.Entry)
 		}
 	}
-	f.journal.replace(b)
 	for _, change := range f.directory.Replace(entries) {
 		f.logChange(change, b.Revision)
 	}
@@ -195,12 +194,11 @@
 	f.adopt(table, origin)
 	staying, leaving := f.directory.Count()
 	f.logger.Info("store read", "origin", origin, "revision", b.Revision, "backend_servers", staying, "leaving", leaving)
-	f.becomeReady()
 }
 
-// takeChanges takes over changes.
-func (f *Follower) takeChanges(b Batch, origin string) {
-	for _, item := range f.journal.add(b) {
+// applyChanges puts changes in force.
+func (f *Follower) applyChanges(items []Item, origin string) {
+	for _, item := range items {
 		decoded := f.decoder.Decode(item)
 		f.logUnusable(item, decoded)
 		f.adopt(decoded.Table, origin)
@@ -215,7 +213,6 @@
 	for _, id := range f.directory.Sweep() {
 		f.logger.Info("backend server forgotten", "backend_server", id)
 	}
-	f.becomeReady()
 }
 
 func (f *Follower) becomeReady() {
--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -158,6 +158,31 @@
 	})
 }
 
+// The pattern: a change after a quiet time, when the reader's view is almost as old
+// as its watch is long. Guards against followers that are given the change with the
+// age of before it: they would take the reader for one that has lost the store, and
+// call the store themselves.
+func TestChangeReachesFollowersWithItsOwnAge(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		reader := NewFollower(store, noPeers{}, slowDecoder{}, directory.New(3*time.Second, time.Now), slog.New(slog.DiscardHandler))
+		go func() { _ = reader.Serve(ctx) }()
+		<-reader.Ready()
+		f := start(ctx, store, onePeer{followed: reader})
+		<-f.Ready()
+		// Right before the end of a watch of the store the view is oldest.
+		for reader.Age() < storeHold {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(replyDelay / 2)
+		before := store.called()
+		store.write("server/a", "leaving")
+		time.Sleep(decodeTime * 2)
+		assert.Equal(t, servers(f), "b")
+		assert.Assert(t, f.Age() < staleAge-storeHold/2, "%v", f.Age())
+		assert.Assert(t, store.called()-before <= 1)
+	})
+}
+
 // The pattern: the store turns some instances away and serves the others. Guards
 // against following an instance that has lost the store.
 func TestFollowerLeavesAnInstanceThatHasLostTheStore(t *testing.T) {
--- a/pkg/feed/journal.go
+++ b/pkg/feed/journal.go
@@ -28,47 +28,46 @@
 	return &journal{items: make(map[string]Item), changed: make(chan struct{})}
 }
 
-// replace takes over a complete list and returns the keys that are no longer in
-// it.
-func (j *journal) replace(b Batch) []string {
+// replace takes over a complete list.
+func (j *journal) replace(b Batch) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	listed := make(map[string]Item, len(b.Items))
 	for _, item := range b.Items {
 		listed[item.Key] = item
 	}
-	var gone []string
-	for key := range j.items {
-		if _, ok := listed[key]; !ok {
-			gone = append(gone, key)
-		}
-	}
-	slices.Sort(gone)
 	j.items = listed
 	j.changes = nil
 	j.from, j.revision, j.synced = b.Revision, b.Revision, true
 	j.wakeLocked()
-	return gone
 }
 
-// add takes over changes and returns those that are new.
-func (j *journal) add(b Batch) []Item {
+// unknown returns the changes of a batch that are not in the journal yet.
+func (j *journal) unknown(b Batch) []Item {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var fresh []Item
 	for _, item := range b.Items {
-		if known, ok := j.items[item.Key]; ok && known.Revision >= item.Revision {
-			continue
+		if known, ok := j.items[item.Key]; !ok || known.Revision < item.Revision {
+			fresh = append(fresh, item)
 		}
+	}
+	return fresh
+}
+
+// add takes over changes that unknown has returned, as of a revision.
+func (j *journal) add(fresh []Item, revision int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, item := range fresh {
 		j.changes = append(j.changes, item)
 		if item.Removed {
 			delete(j.items, item.Key)
 		} else {
 			j.items[item.Key] = item
 		}
-		fresh = append(fresh, item)
 	}
-	j.revision = max(j.revision, b.Revision)
+	j.revision = max(j.revision, revision)
 	if surplus := len(j.changes) - journalChanges; surplus > 0 {
 		j.from = j.changes[surplus-1].Revision
 		j.changes = slices.Clone(j.changes[surplus:])
@@ -76,7 +75,6 @@
 	if len(fresh) > 0 {
 		j.wakeLocked()
 	}
-	return fresh
 }
 
 func (j *journal) wakeLocked() {
--- a/pkg/feed/world_test.go
+++ b/pkg/feed/world_test.go
@@ -38,7 +38,7 @@
 	s.next++
 	item := Item{Key: key, Value: []byte(value), Revision: s.next, Removed: value == ""}
 	s.mu.Unlock()
-	s.journal.add(Batch{Items: []Item{item}, Revision: item.Revision})
+	s.journal.add([]Item{item}, item.Revision)
 }
 
 // forget drops the history before now.
@@ -115,6 +115,18 @@
 	return Decoded{Table: routing.NewTable(version, nil, nil, routing.Limits{})}
 }
 
+// decodeTime is how long slowDecoder takes for an item.
+const decodeTime = 20 * time.Millisecond
+
+// slowDecoder stands in for an instance that gets little processor time between
+// the arrival of a change and its being in force.
+type slowDecoder struct{ fakeDecoder }
+
+func (d slowDecoder) Decode(item Item) Decoded {
+	time.Sleep(decodeTime)
+	return d.fakeDecoder.Decode(item)
+}
+
 // noPeers makes an instance read the store itself.
 type noPeers struct{}
 
