Reach the connection limit of a stand-in by connections that stay open

Callers that are refused at once give their connection to later callers, so that a slow machine never has more than 30 open.

The check is as strict: the limit must reject, and the peak stays within it.

--- a/pkg/standin/backend_test.go
+++ b/pkg/standin/backend_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -142,8 +143,18 @@
 	}
 	waitFor(t, func() bool {
 		stats := p.server.Stats()
-		return stats.Searches == 2 && stats.OverLimit > 0 && stats.Refused > 0
+		return stats.Searches == 2 && stats.Refused > 0
 	})
+	// Callers that were refused may have shared connections, so that the limit is
+	// reached for certain only by connections that stay open.
+	for range slow.Connections + 1 {
+		conn, err := net.Dial("tcp", p.server.Address())
+		if err != nil {
+			break // reset at the limit already
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	waitFor(t, func() bool { return p.server.Stats().OverLimit > 0 })
 	assert.Assert(t, p.server.Stats().PeakConnections <= 30)
 	cancel()
 	for range callers {
