Bound what the log writer joins into one write

The writer joined records for as long as any were queued: with an output that blocks, or records that keep coming, its batch grew without bound and nothing was written.

Change: one write joins at most 64 records. TestQueueWriterBoundsOneWrite failed before with hundreds of records in one write.

--- a/pkg/telemetry/bounded_test.go
+++ b/pkg/telemetry/bounded_test.go
@@ -34,6 +34,31 @@
 	assert.NilError(t, err)
 }
 
+// Guards against a writer that only collects while records keep coming: its memory
+// would grow, and nothing would be written. The output counts what one write holds.
+func TestQueueWriterBoundsOneWrite(t *testing.T) {
+	output := &countingOutput{}
+	w := NewQueueWriter(output)
+	for range queueRecords {
+		_, _ = w.Write([]byte("record\n"))
+	}
+	w.Close()
+	assert.Assert(t, output.most <= batchRecords, "%d records in one write", output.most)
+	assert.Equal(t, int64(output.records)+w.Dropped(), int64(queueRecords))
+}
+
+// countingOutput is written to by the writer's goroutine alone, and read after
+// Close. Each write takes a while, so that records gather.
+type countingOutput struct{ records, most int }
+
+func (o *countingOutput) Write(batch []byte) (int, error) {
+	n := bytes.Count(batch, []byte("\n"))
+	o.records += n
+	o.most = max(o.most, n)
+	time.Sleep(time.Millisecond)
+	return len(batch), nil
+}
+
 // Guards against records that are lost or mixed although the output keeps up.
 func TestQueueWriterKeepsRecordsWhole(t *testing.T) {
 	var output bytes.Buffer
--- a/pkg/telemetry/queuewriter.go
+++ b/pkg/telemetry/queuewriter.go
@@ -10,6 +10,9 @@
 const (
 	// queueRecords bounds the memory of records that wait for the output.
 	queueRecords = 1024
+	// batchRecords bounds one write: records that keep coming must neither put the
+	// write off nor make the batch grow.
+	batchRecords = 64
 	// flushTimeout bounds the wait for a slow output when the process ends.
 	flushTimeout = 500 * time.Millisecond
 )
@@ -73,7 +76,7 @@
 	var batch []byte
 	for record := range w.queue {
 		batch = append(batch[:0], record...)
-		for more := true; more; {
+		for joined, more := 1, true; more && joined < batchRecords; joined++ {
 			select {
 			case next, ok := <-w.queue:
 				batch = append(batch, next...)
