Let servers stop when the answer is due and requests wait outside their queues

Change: a server is told to stop when the answer is due. If the answer then lacks too many shards, the servers that were asked are asked again, charged to the budget and for the rest of the time; a relay names them to the sender, so that no further server is reached. After an attempt that was not in time, an instance limits its attempts at that server and lets requests wait for room, until three fast replies lift the limit.

--- a/pkg/forward/absorb.go
+++ b/pkg/forward/absorb.go
@@ -19,7 +19,7 @@
 		return
 	}
 	r.note(l, res)
-	if r.launch(l, retry) || l.running > 0 {
+	if r.launch(l, retry) || l.running > 0 || r.askAgain(l) {
 		return
 	}
 	r.lose(l)
@@ -43,6 +43,13 @@
 // note records an attempt without a result.
 func (r *run) note(l *leg, res result) {
 	t := Trouble{Server: res.server.ID, Took: time.Since(res.began)}
+	if res.expired() && res.until.Before(r.timing.deadline) {
+		t.Event = "not in time"
+		l.mayRun = l.mayRun || !res.reply.NotRun
+		l.again = append(l.again, res.server.ID)
+		r.trouble(l, t)
+		return
+	}
 	switch {
 	case res.reply == nil && !res.err.Sent:
 		r.unsend(l)
--- a/pkg/forward/caller.go
+++ b/pkg/forward/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 )
@@ -16,6 +17,8 @@
 	// Fresh asks for a new connection: a request that may run only once must not
 	// be lost to a connection that the server is closing.
 	Fresh bool
+	// Until is when the server may stop: a later reply is of no use.
+	Until time.Time
 	// Needed is asked before the request is written, possibly after a wait for a
 	// connection. An attempt that is no longer needed is not sent.
 	Needed func() bool
--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -182,7 +182,7 @@
 		return
 	}
 	r.trouble(l, t)
-	if !r.launch(l, retry) && l.running == 0 {
+	if !r.launch(l, retry) && l.running == 0 && !r.askAgain(l) {
 		r.lose(l)
 	}
 }
@@ -256,6 +256,7 @@
 		l.direct = true
 		l.arrivals += p.Arrivals - 1
 		l.mayRun = l.mayRun || p.MayRun
+		l.again = append(l.again, p.Again...)
 		if p.Arrivals == 0 && g.extra {
 			r.refund(l)
 		}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -23,10 +23,17 @@
 	leg    int
 	server *directory.Server
 	began  time.Time
+	until  time.Time // when the server may have stopped
 	reply  *Reply
 	err    *CallError // when reply is nil
 }
 
+// expired reports whether the server has stopped because it was told that a later
+// reply is of no use.
+func (res *result) expired() bool {
+	return res.reply != nil && !res.reply.success() && !res.reply.Misplaced && !time.Now().Before(res.until)
+}
+
 // launch starts an attempt and reports whether it did.
 func (r *run) launch(l *leg, why purpose) bool {
 	now := time.Now()
@@ -34,9 +41,12 @@
 		return false
 	}
 	choice, ok := r.choose(l, now)
-	if !ok || why == hedge && (choice.Paused || choice.Ejected) {
+	if !ok || why == hedge && (choice.Paused || choice.Full || choice.Ejected || r.late(choice, now)) {
 		return false
 	}
+	if l.waits = r.mustWait(choice, why, now); l.waits {
+		return true
+	}
 	if l.arrivals == 0 && !r.paid {
 		r.startFirst(l, choice.Server, why, now)
 		return true
@@ -184,11 +194,11 @@
 
 // choose prefers servers that stay over those that leave.
 func (r *run) choose(l *leg, now time.Time) (replicas.Choice, bool) {
-	choice, ok := r.engine.tracker.Choose(l.servers, l.wasTried, now)
+	choice, ok := r.engine.tracker.Choose(l.servers, r.route.Name, l.wasTried, now)
 	if ok {
 		return choice, true
 	}
-	return r.engine.tracker.Choose(r.engine.directory.LastResort(l.service), l.wasTried, now)
+	return r.engine.tracker.Choose(r.engine.directory.LastResort(l.service), r.route.Name, l.wasTried, now)
 }
 
 func (r *run) begin(l *leg, server *directory.Server, now time.Time) {
@@ -203,21 +213,31 @@
 		Server:      server,
 		Connections: r.engine.connections(r.maxConnections(l.service), server.Zone),
 		Fresh:       !r.route.Repeatable,
+		Until:       r.timing.usefulUntil(r.route, now),
 		Needed:      func() bool { return !l.settled.Load() },
 	}
-	observed := r.engine.tracker.Begin(server, r.route.Name, now)
+	observed := r.engine.tracker.Begin(server, r.route.Name, now, r.wantedBy(now))
 	go r.attempt(l.index, call, observed, now)
 }
 
+// wantedBy is when the reply to an attempt that starts now is due; one that is late
+// anyway is not judged by its time.
+func (r *run) wantedBy(now time.Time) time.Time {
+	if r.route.Sharded() && !now.Before(r.timing.cutoff) {
+		return now
+	}
+	return r.timing.usefulUntil(r.route, now)
+}
+
 // attempt runs in its own goroutine, also after the request has its answer.
 func (r *run) attempt(index int, call Call, observed *replicas.Attempt, began time.Time) {
 	defer r.release()
 	reply, err := r.engine.caller.Call(r.ctx, call)
-	res := result{leg: index, server: call.Server, began: began, reply: reply}
+	res := result{leg: index, server: call.Server, began: began, until: call.Until, reply: reply}
 	if err != nil && !errors.As(err, &res.err) {
 		res.err = &CallError{Sent: true, Detail: "call failed", Cause: err}
 	}
-	observed.End(outcomeOf(reply, r.ctx.Err()), time.Now())
+	observed.End(outcomeOf(&res, r.ctx.Err()), time.Now())
 	deliver(r.ctx, r.results, res)
 }
 
@@ -235,8 +255,11 @@
 	}
 }
 
-func outcomeOf(reply *Reply, ended error) replicas.Outcome {
+func outcomeOf(res *result, ended error) replicas.Outcome {
+	reply := res.reply
 	switch {
+	case res.expired():
+		return replicas.Expired
 	case reply != nil && reply.Misplaced:
 		return replicas.Misplaced
 	case reply != nil && reply.NotRun:
@@ -257,7 +280,7 @@
 	}
 	for _, l := range r.legs {
 		due := l.last.Add(r.timing.hedge)
-		if l.decided() || l.hedged || now.Before(due) {
+		if l.decided() || l.hedged || l.waits || now.Before(due) {
 			continue
 		}
 		if now.Sub(due) > starvedBy && !l.postponed {
--- a/pkg/forward/leg.go
+++ b/pkg/forward/leg.go
@@ -16,6 +16,7 @@
 	servers  []*directory.Server
 	tried    []string // ids of servers that got an attempt
 	arrivals int      // attempts that may have reached a server
+	again    []string // of tried ones, those that were told to stop and may be asked again
 	extras   int      // of them charged to the budget
 	running  int
 	mayRun   bool      // an attempt may have been run
@@ -27,6 +28,7 @@
 	// postponed is set when a hedge was put off because this instance was starved.
 	postponed bool
 	lost      bool // no reply will come
+	waits     bool // its first attempt waits for room at a server
 	direct    bool // a relay has failed; servers are asked directly
 	// settled is set when no further attempt is needed; attempts that still wait
 	// for a connection read it.
--- /dev/null
+++ b/pkg/forward/overload_test.go
@@ -0,0 +1,116 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamorelift/sycamorelift/pkg/routing"
+)
+
+// queuedServer runs two requests at a time, first come, first served. It stops at
+// the time that it is told, and rejects what has waited for longer.
+func queuedServer(work time.Duration) behaviour {
+	slots := make(chan struct{}, 2)
+	return func(ctx context.Context, call Call) (*Reply, error) {
+		left := time.Until(call.Until)
+		select {
+		case slots <- struct{}{}:
+		case <-time.After(left):
+			return &Reply{Status: 503, NotRun: true}, nil
+		case <-ctx.Done():
+			return nil, &CallError{Sent: true, Detail: "given up", Cause: ctx.Err()}
+		}
+		defer func() { <-slots }()
+		if left = time.Until(call.Until); left < work {
+			time.Sleep(max(left, 0))
+			return &Reply{Status: 504, Proof: "proof-of-failure"}, nil
+		}
+		return answersAfter(work)(ctx, call)
+	}
+}
+
+// load sends requests at even intervals and returns how many were answered by the
+// target, late and not at all.
+func (w *world) load(route *routing.Route, perSecond int, length time.Duration) (inTime, late, failed int) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for range int(length.Seconds() * float64(perSecond)) {
+		group.Go(func() {
+			answer, took := w.ask(background, route)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case answer.Merged == nil:
+				failed++
+			case took <= route.Target:
+				inTime++
+			default:
+				late++
+			}
+		})
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+	group.Wait()
+	return inTime, late, failed
+}
+
+// The pattern: all servers of several shards turn slow, so that the shards get more
+// requests than they can serve, and one more is missing than the route allows.
+// Guards against servers that work on parts for which no request waits any more
+// while others become late: each slow shard can serve 40 of 60 requests in a second,
+// and an answer may lack two of the three, so that most can be in time. At least half
+// of what one shard can serve has to be.
+func TestSlowShardsWorkOnPartsThatAreStillWanted(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.sharded(20, 0.89)
+		w.settle(route)
+		for _, shard := range []string{"s03", "s07", "s11"} {
+			w.set(shard+".a", w.counted(queuedServer(100*time.Millisecond)))
+			w.set(shard+".b", w.counted(queuedServer(100*time.Millisecond)))
+		}
+		inTime, late, failed := w.load(route, 60, 10*time.Second)
+		assert.Assert(t, inTime >= 200, "%d in time, %d late, %d failed", inTime, late, failed)
+	})
+}
+
+// The pattern: more shards are slow than the route allows to be missing. Guards
+// against a request that ends without an answer because its parts were given up
+// when the answer was due.
+func TestPartsThatWereGivenUpAreAskedAgainForALateAnswer(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.sharded(20, 0.89)
+		w.settle(route)
+		for _, shard := range []string{"s03", "s07", "s11"} {
+			w.set(shard+".a", w.counted(queuedServer(400*time.Millisecond)))
+			w.set(shard+".b", w.counted(queuedServer(400*time.Millisecond)))
+		}
+		answer, took := w.ask(background, route)
+		assert.Assert(t, answer.Merged != nil, "%+v", answer.Refusal)
+		assert.Assert(t, len(answer.Merged.Proofs) >= route.RequiredShards())
+		assert.Assert(t, took < route.Timeout/2, "%v", took)
+	})
+}
+
+// Guards against a third server that is asked for a shard when the route allows two.
+func TestPartsAreAskedAgainOnlyAtTheSameServers(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.sharded(1, 1)
+		w.addServer("s00", "s00.c", here)
+		w.settle(route)
+		for _, id := range []string{"s00.a", "s00.b", "s00.c"} {
+			w.set(id, w.counted(queuedServer(400*time.Millisecond)))
+		}
+		answer, _ := w.ask(background, route)
+		assert.Assert(t, answer.Merged != nil, "%+v", answer.Refusal)
+		asked := map[string]bool{}
+		for _, arrival := range w.arrivals {
+			asked[arrival] = true
+		}
+		assert.Equal(t, len(asked), route.MaxAttempts, "%v", w.arrivals)
+		assert.Equal(t, len(w.arrivals), 3)
+	})
+}
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -111,7 +111,7 @@
 		if l.reply != nil {
 			continue
 		}
-		lost := LostPart{Index: i, Arrivals: l.arrivals, MayRun: l.mayRun || l.running > 0, Event: "still running"}
+		lost := LostPart{Index: i, Arrivals: l.arrivals, MayRun: l.mayRun || l.running > 0, Again: l.again, Event: "still running"}
 		if l.lost {
 			lost.Event = "no backend server answered"
 		}
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -66,5 +66,6 @@
 	Index    int
 	Arrivals int // requests that may have reached a backend server
 	MayRun   bool
+	Again    []string // ids of servers that were told to stop and may be asked again
 	Event    string
 }
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -12,6 +12,10 @@
 // group and one hedge, and each has its acceptance, one result a leg and its end.
 const groupEventsPerLeg = 6
 
+// waitStep is the interval at which attempts that wait for room at a server are
+// looked at; it is short against the time that a server takes.
+const waitStep = 10 * time.Millisecond
+
 // run is one request on its way. All fields but pending are used by the
 // request's goroutine alone.
 type run struct {
@@ -145,6 +149,7 @@
 		r.absorbReady()
 		now = time.Now()
 		r.giveUpGroups(now)
+		r.resume(now)
 		r.hedge(now)
 	}
 }
@@ -189,7 +194,10 @@
 		}
 	}
 	for _, l := range r.legs {
-		if l.decided() || l.hedged {
+		if l.waits && now.Add(waitStep).Before(next) {
+			next = now.Add(waitStep)
+		}
+		if l.decided() || l.hedged || l.waits {
 			continue
 		}
 		if due := l.last.Add(r.timing.hedge); due.Before(next) {
--- a/pkg/forward/sender.go
+++ b/pkg/forward/sender.go
@@ -62,11 +62,10 @@
 // Call implements Caller.
 func (s *Sender) Call(ctx context.Context, call Call) (*Reply, error) {
 	pool := s.pool(call.Server, call.Connections)
-	deadline, _ := ctx.Deadline()
 	reply, err := pool.Forward(ctx, backend.ForwardCall{
 		Method: call.Request.Method,
 		Wire: func() []byte {
-			left := time.Until(deadline)
+			left := time.Until(call.Until)
 			if left <= 0 || !call.Needed() {
 				return nil
 			}
--- a/pkg/forward/timing.go
+++ b/pkg/forward/timing.go
@@ -35,6 +35,17 @@
 	hedge    time.Duration
 }
 
+// usefulUntil is when a reply to an attempt that starts now comes too late. A part of
+// a sharded answer is of use until the answer goes out without it; a server that
+// works on parts nobody waits for any more is late with all others too. Attempts
+// after that moment have the whole time.
+func (t *timing) usefulUntil(route *routing.Route, now time.Time) time.Time {
+	if route.Sharded() && now.Before(t.cutoff) && t.cutoff.Before(t.deadline) {
+		return t.cutoff
+	}
+	return t.deadline
+}
+
 func newTiming(route *routing.Route, request *Request, usual time.Duration) timing {
 	target := route.Target
 	if target <= 0 {
--- /dev/null
+++ b/pkg/forward/wait.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/replicas"
+)
+
+// mustWait reports whether a first attempt has to wait until its server has room. One
+// that will be late anyway waits until the server has nothing else to do.
+func (r *run) mustWait(choice replicas.Choice, why purpose, now time.Time) bool {
+	if why != first || !r.route.Sharded() {
+		return false
+	}
+	if now.Before(r.timing.cutoff) {
+		return choice.Full || r.late(choice, now)
+	}
+	return choice.Busy
+}
+
+// late reports whether the reply of a server that has too much work will probably not
+// be in the answer when that is due.
+func (r *run) late(choice replicas.Choice, now time.Time) bool {
+	return r.route.Sharded() && now.Before(r.timing.cutoff) && now.Add(choice.Expected).After(r.timing.cutoff)
+}
+
+// resume starts attempts that have waited. After the answer is due it leaves those of
+// a relay to the sender, which knows whether too many shards are missing.
+func (r *run) resume(now time.Time) {
+	for _, l := range r.legs {
+		switch {
+		case !l.waits:
+		case r.relayed && !now.Before(r.timing.cutoff):
+			l.waits = false
+			r.lose(l)
+		case len(l.again) > 0:
+			if !r.askAgain(l) {
+				r.lose(l)
+			}
+		case !r.launch(l, first):
+			r.lose(l)
+		}
+	}
+}
+
+// askAgain sends the request once more to a server that was told to stop when the
+// answer was due, since it turned out that the answer lacks too many shards. No
+// other server may be asked when the route's number of them is reached.
+func (r *run) askAgain(l *leg) bool {
+	now := time.Now()
+	l.waits = false
+	if r.relayed || len(l.again) == 0 || now.Before(r.timing.cutoff) || !now.Before(r.timing.deadline) {
+		return false
+	}
+	choice, ok := r.engine.tracker.Choose(l.servers, r.route.Name, func(id string) bool { return !slices.Contains(l.again, id) }, now)
+	if ok && choice.Busy {
+		l.waits = true
+		return true
+	}
+	if !ok || !r.spend(l, now) {
+		return false
+	}
+	l.again = nil
+	r.begin(l, choice.Server, now)
+	l.arrivals-- // the server is counted already
+	r.countExtra(l, retry, choice.Server.ID)
+	return true
+}
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -223,7 +223,7 @@
 		m.Parts = append(m.Parts, &peeringpb.Part{Index: uint32(p.Index), Proof: p.Proof, Body: p.Body})
 	}
 	for _, l := range result.Lost {
-		m.Lost = append(m.Lost, &peeringpb.Lost{Index: uint32(l.Index), Arrivals: uint32(max(l.Arrivals, 0)), MayRun: l.MayRun, Event: l.Event})
+		m.Lost = append(m.Lost, &peeringpb.Lost{Index: uint32(l.Index), Arrivals: uint32(max(l.Arrivals, 0)), MayRun: l.MayRun, Again: l.Again, Event: l.Event})
 	}
 	return m
 }
@@ -241,7 +241,7 @@
 	}
 	for _, l := range m.GetLost() {
 		result.Lost = append(result.Lost, forward.LostPart{
-			Index: int(l.GetIndex()), Arrivals: int(l.GetArrivals()), MayRun: l.GetMayRun(), Event: l.GetEvent(),
+			Index: int(l.GetIndex()), Arrivals: int(l.GetArrivals()), MayRun: l.GetMayRun(), Again: l.GetAgain(), Event: l.GetEvent(),
 		})
 	}
 	return result
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -8,7 +8,10 @@
 	server  *server
 	route   string
 	began   time.Time
-	ended   bool
+	until   time.Time // a later reply is of no use
+	// capacity is the number of requests that the server runs at once.
+	capacity int
+	ended    bool
 }
 
 // End records the outcome. Only the first call has an effect.
@@ -21,6 +24,7 @@
 	a.ended = true
 	a.server.remove(a)
 	a.server.age(now)
+	a.server.lastEnd = now
 	took := now.Sub(a.began)
 	known := a.tracker.usualLocked(a.route)
 	ratio := float64(took) / float64(known.get())
@@ -30,6 +34,7 @@
 		a.server.recordSlowness(ratio)
 		a.server.recordFault(false)
 		a.server.succeed()
+		a.server.limit.raise(float64(took)/float64(max(a.until.Sub(a.began), 1)), a.capacity)
 	case Refused:
 		a.server.recordFault(true)
 	case Misplaced:
@@ -37,9 +42,10 @@
 	case Failed:
 		a.server.recordFault(true)
 		a.server.fail(now)
+	case Expired:
+		a.server.limit.lower(a.began, now, a.capacity)
+		a.server.recordLate(ratio)
 	case Abandoned:
-		if ratio > a.server.slowness {
-			a.server.recordSlowness(ratio)
-		}
+		a.server.recordLate(ratio)
 	}
 }
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -15,22 +15,27 @@
 	// faultFactor weighs the share of refused and failed attempts: a server that
 	// refuses one in five is worse than one in another zone.
 	faultFactor = 12.0
-	// pausedPenalty and ejectedPenalty put such servers last, in that order.
+	// These penalties put paused, full and ejected servers last, in that order.
 	pausedPenalty  = 100.0
+	fullPenalty    = 1000.0
 	ejectedPenalty = 10000.0
 )
 
 // Choice is a chosen server with what decided it, for logs.
 type Choice struct {
-	Server  *directory.Server
-	Score   float64 // lower is better; 1 is a usual idle server of this zone
-	Paused  bool    // it owes a reply for longer than usual
-	Ejected bool    // it failed several times in a row
+	Server *directory.Server
+	Score  float64 // lower is better; 1 is a usual idle server of this zone
+	Paused bool    // it owes a reply for longer than usual
+	Full   bool    // a further attempt would probably not be in time
+	// Expected is about the time to the reply of a limited server, 0 without a limit.
+	Expected time.Duration
+	Busy     bool // a further attempt would take the room of others that can be in time
+	Ejected  bool // it failed several times in a row
 }
 
 // Choose returns the best candidate that is not excluded, or false. Candidates
 // with equal scores are taken in the order given.
-func (t *Tracker) Choose(candidates []*directory.Server, excluded func(id string) bool, now time.Time) (Choice, bool) {
+func (t *Tracker) Choose(candidates []*directory.Server, route string, excluded func(id string) bool, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best Choice
@@ -39,7 +44,7 @@
 		if excluded(candidate.ID) {
 			continue
 		}
-		choice, usable := t.judgeLocked(candidate, now)
+		choice, usable := t.judgeLocked(candidate, route, now)
 		if !usable {
 			continue
 		}
@@ -51,7 +56,7 @@
 }
 
 // judgeLocked returns false for a server that is not at its address.
-func (t *Tracker) judgeLocked(candidate *directory.Server, now time.Time) (Choice, bool) {
+func (t *Tracker) judgeLocked(candidate *directory.Server, route string, now time.Time) (Choice, bool) {
 	known := t.serverLocked(candidate.Key(), now)
 	known.age(now)
 	c := Choice{Server: candidate}
@@ -71,6 +76,15 @@
 		c.Paused = true
 		c.Score += pausedPenalty
 	}
+	expected := time.Duration(max(known.slowness, 1) * float64(t.usual[route].get()))
+	if known.limit.value != 0 {
+		c.Expected = expected
+	}
+	if known.limit.full(len(known.running), now.Sub(known.lastEnd), expected) {
+		c.Full = true
+		c.Score += fullPenalty
+	}
+	c.Busy = c.Full || known.limit.busy(len(known.running))
 	if now.Before(known.ejected) {
 		c.Ejected = true
 		c.Score += ejectedPenalty
--- /dev/null
+++ b/pkg/replicas/limit.go
@@ -0,0 +1,78 @@
+package replicas
+
+import "time"
+
+const (
+	// limitCut is the factor of a lowered limit.
+	limitCut = 0.5
+	// limitGrowth is the factor of a raised limit below 1, limitStep what a reply adds
+	// above: some ten replies in time for one more attempt.
+	limitGrowth = 1.5
+	limitStep   = 0.1
+	// leastLimit lets a server be tried about once in the time of ten replies, so
+	// that its recovery is noticed.
+	leastLimit = 0.1
+	// fastShare of the time that it had is a reply of a server without a queue; after
+	// fastReplies of them in a row the limit is lifted.
+	fastShare   = 0.4
+	fastReplies = 3
+)
+
+// limit is the number of attempts that this instance may run at one server at a
+// time. There is none until an attempt was not in time. From then on the server has
+// more work than it can do in time, so that requests wait here, where they can be
+// given up, and not in its queue. Below 1, a pause follows each attempt.
+type limit struct {
+	value float64 // 0 is none
+	cut   time.Time
+	fast  int // fast replies in a row
+}
+
+// lower takes an attempt into account that was not in time. The limit is lowered at
+// most once for the attempts of one moment, and is at most what the server runs at
+// once.
+func (l *limit) lower(began, now time.Time, capacity int) {
+	if began.Before(l.cut) {
+		return
+	}
+	if l.value == 0 {
+		l.value = float64(max(capacity, 1)) / limitCut
+	}
+	l.value = max(l.value*limitCut, leastLimit)
+	l.cut, l.fast = now, 0
+}
+
+// raise takes a reply into account that took a share of the time that it had.
+func (l *limit) raise(share float64, capacity int) {
+	if l.value == 0 {
+		return
+	}
+	if share > fastShare {
+		l.fast = 0
+	} else if l.fast++; l.fast >= fastReplies {
+		l.value = 0
+		return
+	}
+	if l.value < 1 {
+		l.value = min(l.value*limitGrowth, 1)
+		return
+	}
+	l.value = min(l.value+limitStep, float64(max(capacity, 1)))
+}
+
+// busy reports whether the server is limited and has attempts, so that one that is
+// late anyway has to wait.
+func (l *limit) busy(running int) bool { return l.value != 0 && running > 0 }
+
+// full reports whether no further attempt may start. Idle is the time since the
+// last attempt has ended, usual the time that one takes.
+func (l *limit) full(running int, idle, usual time.Duration) bool {
+	switch {
+	case l.value == 0:
+		return false
+	case running > 0 || l.value >= 1:
+		return float64(running) >= l.value
+	default:
+		return idle < time.Duration((1/l.value-1)*float64(usual))
+	}
+}
--- /dev/null
+++ b/pkg/replicas/limit_test.go
@@ -0,0 +1,64 @@
+package replicas
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const slots = 2
+
+// Guards against a limit without a reason, and against many cuts for the attempts
+// that one pause of a server has delayed.
+func TestLimitIsLoweredOncePerMoment(t *testing.T) {
+	var l limit
+	now := time.Unix(1000, 0)
+	assert.Assert(t, !l.full(50, 0, time.Second))
+	for range 10 {
+		l.lower(now, now.Add(100*time.Millisecond), slots)
+	}
+	assert.Equal(t, l.value, float64(slots))
+	assert.Assert(t, l.full(slots, 0, time.Second))
+	assert.Assert(t, !l.full(slots-1, 0, time.Second))
+	later := now.Add(200 * time.Millisecond)
+	l.lower(later, later.Add(100*time.Millisecond), slots)
+	assert.Equal(t, l.value, float64(slots)/2)
+}
+
+// Guards against a server that is never tried again, and against one that is
+// tried all the time although nothing comes back in time.
+func TestLimitBelowOnePausesBetweenAttempts(t *testing.T) {
+	var l limit
+	now := time.Unix(1000, 0)
+	for range 20 {
+		now = now.Add(time.Second)
+		l.lower(now, now, slots)
+	}
+	assert.Equal(t, l.value, leastLimit)
+	usual := 100 * time.Millisecond
+	assert.Assert(t, l.full(0, usual, usual))
+	assert.Assert(t, !l.full(0, 10*usual, usual))
+	assert.Assert(t, l.full(1, 10*usual, usual))
+}
+
+// Guards against a limit that outlives the shortage, and against one that a few late
+// replies lift.
+func TestLimitIsLiftedByFastReplies(t *testing.T) {
+	var l limit
+	now := time.Unix(1000, 0)
+	l.lower(now, now, slots)
+	for range 100 {
+		l.raise(0.9, slots)
+	}
+	assert.Equal(t, l.value, float64(slots))
+	for range fastReplies - 1 {
+		l.raise(0.1, slots)
+	}
+	l.raise(0.9, slots)
+	assert.Equal(t, l.value, float64(slots))
+	for range fastReplies {
+		l.raise(0.1, slots)
+	}
+	assert.Equal(t, l.value, 0.0)
+}
--- a/pkg/replicas/outcome.go
+++ b/pkg/replicas/outcome.go
@@ -10,4 +10,5 @@
 	Failed                   // no reply, a broken one, or the server's own error
 	Abandoned                // given up here; says nothing but that it took that long
 	Misplaced                // another server has the address
+	Expired                  // the server has stopped, because a later reply is of no use
 )
--- a/pkg/replicas/replicas_test.go
+++ b/pkg/replicas/replicas_test.go
@@ -38,13 +38,13 @@
 }
 
 func (b *bench) call(s *directory.Server, took time.Duration, outcome Outcome) {
-	a := b.Begin(s, route, b.now)
+	a := b.Begin(s, route, b.now, b.now.Add(time.Second))
 	b.now = b.now.Add(took)
 	a.End(outcome, b.now)
 }
 
 func (b *bench) chosen() string {
-	choice, ok := b.Choose([]*directory.Server{b.local, b.remote}, none, b.now)
+	choice, ok := b.Choose([]*directory.Server{b.local, b.remote}, route, none, b.now)
 	if !ok {
 		return ""
 	}
@@ -61,7 +61,7 @@
 // request that is sent to a server which owes replies.
 func TestPausedServerIsPassedOver(t *testing.T) {
 	b := newBench()
-	b.Begin(b.local, route, b.now)
+	b.Begin(b.local, route, b.now, b.now.Add(time.Second))
 	b.now = b.now.Add(3 * normal)
 	assert.Equal(t, b.chosen(), "b")
 }
@@ -117,10 +117,10 @@
 	for range failuresToEject {
 		b.call(b.local, time.Millisecond, Failed)
 	}
-	choice, ok := b.Choose([]*directory.Server{b.local}, none, b.now)
+	choice, ok := b.Choose([]*directory.Server{b.local}, route, none, b.now)
 	assert.Assert(t, ok && choice.Ejected)
 	b.now = b.now.Add(firstEjection)
-	choice, _ = b.Choose([]*directory.Server{b.local}, none, b.now)
+	choice, _ = b.Choose([]*directory.Server{b.local}, route, none, b.now)
 	assert.Assert(t, !choice.Ejected)
 }
 
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -45,6 +45,8 @@
 	failures  int // in a row
 	ejections int // in a row
 	ejected   time.Time
+	limit     limit
+	lastEnd   time.Time // of an attempt
 	misplaced time.Time // last time that another server answered at the address
 }
 
@@ -71,6 +73,14 @@
 	s.slowness += slownessWeight * (ratio - s.slowness)
 }
 
+// recordLate records an attempt without a reply, which tells only that the reply
+// would have taken longer.
+func (s *server) recordLate(ratio float64) {
+	if ratio > s.slowness {
+		s.recordSlowness(ratio)
+	}
+}
+
 func (s *server) recordFault(fault bool) {
 	sample := 0.0
 	if fault {
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -34,12 +34,13 @@
 	return &Tracker{zone: zone, servers: make(map[string]*server), usual: make(map[string]*usual)}
 }
 
-// Begin records that a request of the route is sent to a server.
-func (t *Tracker) Begin(s *directory.Server, route string, now time.Time) *Attempt {
+// Begin records that a request of the route is sent to a server. A reply after until
+// is of no use.
+func (t *Tracker) Begin(s *directory.Server, route string, now, until time.Time) *Attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.serverLocked(s.Key(), now)
-	a := &Attempt{tracker: t, server: known, route: route, began: now}
+	a := &Attempt{tracker: t, server: known, route: route, began: now, until: until, capacity: s.Capacity}
 	known.running = append(known.running, a)
 	return a
 }
