Let deputies read the store while a zone's reader fails

Exchanges with seeds of other zones carried the whole list of members although the seed was known.

Change: in a zone of more than three instances the next in rank reads the store, its first call is not held so that its followers see a fresh view, the others follow it, then the one after it, and call the store themselves only after both have failed, with a random pause between. Seeds are asked only when they are not known members.

Tried and reverted: a relay that hands first attempts at servers of another zone on to an instance there.

TestDeputyReadsTheStoreForTheOthers, TestDeputyThatFailsIsLeft, TestDeputiesAreFewAndNotTheReader.

--- a/pkg/feed/cycle.go
+++ b/pkg/feed/cycle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -10,9 +11,10 @@
 	// followed: it has lost the store, and this instance may still reach it. It is
 	// above the age of a view between two watches that went well.
 	staleAge = storeHold + replyDelay + 300*time.Millisecond
-	// directFor is how long the store is read directly after the zone's reader has
-	// failed.
+	// directFor is how long the zone's reader is not followed after it has failed.
 	directFor = 5 * time.Second
+	// deputyPause is the mean pause after a deputy has failed too.
+	deputyPause = 600 * time.Millisecond
 	// replyDelay bounds the way of a watch's reply; a slow store takes 250 ms. Only a
 	// process that was paused reads a reply later, and its next watch corrects it.
 	replyDelay = 500 * time.Millisecond
@@ -26,6 +28,8 @@
 	failures int       // in a row, of any source
 	stores   int       // failures of the store in a row
 	direct   time.Time // until then the zone's reader is not followed
+	deputies int       // that have failed since the reader has
+	quick    bool      // the next watch of the store is not held
 	retry    time.Time // until then the store is not called
 }
 
@@ -63,18 +67,26 @@
 	return peerPause
 }
 
-// source is the zone's reader; the store when this instance is the reader or the
-// reader has failed; any other instance while the store fails. It returns false
-// when there is no other source before the store may be called again.
+// source is the zone's reader; one of its deputies when it has failed; the store when
+// this instance is one of them or they have failed too; any other instance while the
+// store fails. It returns false when there is no other source before the store may be
+// called again.
 func (c *cycle) source(now time.Time) (followed, bool) {
 	f := c.follower
 	if now.After(c.direct) {
+		c.deputies = 0
 		if reader := f.sources.Reader(); reader != nil {
 			return followed{Source: reader, id: reader.ID(), hold: peerHold}, true
 		}
+	} else if deputy := f.sources.Deputy(c.deputies); deputy != nil {
+		return followed{Source: deputy, id: deputy.ID(), hold: peerHold}, true
 	}
 	if !now.Before(c.retry) {
-		return followed{Source: f.store, id: "store", store: true, hold: storeHold}, true
+		hold := storeHold
+		if c.quick {
+			hold = 0
+		}
+		return followed{Source: f.store, id: "store", store: true, hold: hold}, true
 	}
 	if other := f.sources.Any(); other != nil {
 		return followed{Source: other, id: other.ID(), hold: min(peerHold, c.retry.Sub(now))}, true
@@ -144,10 +156,18 @@
 		c.stores++
 		c.retry = now.Add(backoff(c.stores))
 		f.setFailing(true)
-	} else {
-		c.direct = now.Add(directFor)
+		return peerPause
 	}
-	return peerPause
+	if now.After(c.direct) {
+		// The first watch of the store only confirms the view, for those who follow this
+		// instance in the reader's place.
+		c.direct, c.quick = now.Add(directFor), true
+		return peerPause
+	}
+	c.deputies++
+	// A store that is silent for a moment fails for all deputies; whoever asks the next
+	// one, or the store itself, at once would only add to its load.
+	return deputyPause/2 + rand.N(deputyPause)
 }
 
 func (c *cycle) succeeded(source followed) {
@@ -156,7 +176,7 @@
 	}
 	c.failures = 0
 	if source.store {
-		c.stores = 0
+		c.stores, c.quick = 0, false
 		c.retry = time.Time{}
 	}
 	c.follower.setFailing(c.stores > 0)
--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -205,6 +205,55 @@
 	})
 }
 
+// The pattern: a zone of many instances whose reader has lost the store. Guards
+// against all of them calling the store, and against changes that are late meanwhile.
+func TestDeputyReadsTheStoreForTheOthers(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		turnedAway := newFakeStore()
+		turnedAway.write("table", "1")
+		reader := start(ctx, turnedAway, noPeers{})
+		<-reader.Ready()
+		deputy := start(ctx, store, onePeer{followed: reader})
+		var followers []*Follower
+		for range 20 {
+			followers = append(followers, start(ctx, store, deputised{onePeer: onePeer{followed: reader}, deputy: deputy}))
+		}
+		for _, f := range followers {
+			<-f.Ready()
+		}
+		before := store.called()
+		turnedAway.setDown(true)
+		time.Sleep(2 * time.Second)
+		store.write("table", "2")
+		time.Sleep(soon)
+		for _, f := range followers {
+			assert.Equal(t, f.Table().Version(), int64(2))
+			assert.Assert(t, f.Age() < staleAge, "%v", f.Age())
+		}
+		time.Sleep(10 * time.Second)
+		// A watch of the store every 1.7 s, and two at each look for the reader.
+		assert.Assert(t, store.called()-before <= 20, "%d calls", store.called()-before)
+	})
+}
+
+// Guards against waiting for a deputy that has lost the store as well.
+func TestDeputyThatFailsIsLeft(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		turnedAway := newFakeStore()
+		turnedAway.write("table", "1")
+		reader := start(ctx, turnedAway, noPeers{})
+		deputy := start(ctx, turnedAway, noPeers{})
+		<-reader.Ready()
+		<-deputy.Ready()
+		f := start(ctx, store, deputised{onePeer: onePeer{followed: reader}, deputy: deputy})
+		<-f.Ready()
+		turnedAway.setDown(true)
+		store.write("table", "2")
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, f.Table().Version(), int64(2))
+	})
+}
+
 // The same pattern the other way round: an instance that reads the store itself is
 // turned away. Guards against keeping an old view although others have the new one.
 func TestInstanceThatIsTurnedAwayFollowsAnother(t *testing.T) {
--- a/pkg/feed/world_test.go
+++ b/pkg/feed/world_test.go
@@ -130,8 +130,9 @@
 // noPeers makes an instance read the store itself.
 type noPeers struct{}
 
-func (noPeers) Reader() PeerSource { return nil }
-func (noPeers) Any() PeerSource    { return nil }
+func (noPeers) Reader() PeerSource    { return nil }
+func (noPeers) Deputy(int) PeerSource { return nil }
+func (noPeers) Any() PeerSource       { return nil }
 
 // onePeer makes an instance follow another one, which reads the store for it or,
 // when alone is set, is only asked when the store fails.
@@ -147,8 +148,23 @@
 	return followedPeer(p)
 }
 
+func (onePeer) Deputy(int) PeerSource { return nil }
+
 func (p onePeer) Any() PeerSource { return followedPeer(p) }
 
+// deputised makes an instance follow a reader, and a deputy when that fails.
+type deputised struct {
+	onePeer
+	deputy *Follower
+}
+
+func (d deputised) Deputy(failed int) PeerSource {
+	if failed > 0 {
+		return nil
+	}
+	return followedPeer{followed: d.deputy}
+}
+
 type followedPeer onePeer
 
 func (p followedPeer) ID() string { return "peer" }
--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
@@ -16,8 +17,9 @@
 	// remoteChance is the chance that one of a zone's instances, in the mean, also
 	// exchanges with another zone: news need to cross only once.
 	remoteChance = 0.25
-	// seedChance is the chance that an exchange asks a seed, so that two groups of
-	// instances that have lost each other find together again.
+	// seedChance is the chance that an exchange asks a seed that is not known as a
+	// member, so that two groups of instances that have lost each other find together
+	// again.
 	seedChance = 0.05
 )
 
@@ -88,14 +90,22 @@
 	if len(remote) > 0 && rand.Float64() < remoteChance/float64(len(local)+1) {
 		out = append(out, remote[rand.IntN(len(remote))])
 	}
-	if seeds := e.seeds(); len(seeds) > 0 && (len(out) == 0 || rand.Float64() < seedChance) {
-		if seed := seeds[rand.IntN(len(seeds))]; seed != self.Address {
-			out = append(out, Member{Address: seed})
-		}
+	if seeds := e.unknownSeeds(self); len(seeds) > 0 && (len(out) == 0 || rand.Float64() < seedChance) {
+		out = append(out, Member{Address: seeds[rand.IntN(len(seeds))]})
 	}
 	return out
 }
 
+// unknownSeeds returns the seeds that are neither this instance nor a usable member:
+// an exchange with another zone that brings no news is priced by its bytes.
+func (e *Exchanger) unknownSeeds(self Member) []string {
+	known := map[string]bool{self.Address: true}
+	for _, m := range e.members.Usable("") {
+		known[m.Address] = true
+	}
+	return slices.DeleteFunc(slices.Clone(e.seeds()), func(seed string) bool { return known[seed] })
+}
+
 func (e *Exchanger) exchange(ctx context.Context, target Member, m *peeringpb.ExchangeMessage) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/pkg/peering/members_test.go
+++ b/pkg/peering/members_test.go
@@ -165,3 +165,47 @@
 	}
 	assert.Equal(t, readers, 1)
 }
+
+// Guards against a zone whose instances all call the store when its reader fails, and
+// against following the one that has failed.
+func TestDeputiesAreFewAndNotTheReader(t *testing.T) {
+	var ids []string
+	for i := range 20 {
+		ids = append(ids, "p"+string(rune('a'+i)))
+	}
+	direct, followed := 0, map[string]bool{}
+	reader := ""
+	for _, self := range ids {
+		m, _ := newMembers()
+		m.self = memberIn(self, "z1")
+		for _, id := range ids {
+			m.Learn(memberIn(id, "z1"), 0)
+		}
+		sources := NewSources(m, nil)
+		if r := sources.Reader(); r != nil {
+			reader = r.ID()
+		}
+		if sources.Deputy(0) == nil {
+			direct++
+			continue
+		}
+		followed[sources.Deputy(0).ID()] = true
+		assert.Assert(t, sources.Deputy(deputies) == nil)
+	}
+	assert.Equal(t, direct, 2, "the reader and its first deputy")
+	assert.Equal(t, len(followed), 1)
+	assert.Assert(t, !followed[reader])
+}
+
+// Guards against an instance of a small zone that waits for deputies.
+func TestSmallZoneHasNoDeputies(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	for _, self := range ids {
+		m, _ := newMembers()
+		m.self = memberIn(self, "z1")
+		for _, id := range ids {
+			m.Learn(memberIn(id, "z1"), 0)
+		}
+		assert.Assert(t, NewSources(m, nil).Deputy(0) == nil)
+	}
+}
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -39,6 +39,25 @@
 	return s.source(chosen)
 }
 
+// deputies is the number of instances of a zone that are followed one after the other
+// when its reader fails. A store that turns a third of the instances away serves at
+// least one of them mostly, and all of them being silent is found out within 3 s.
+const deputies = 2
+
+// Deputy implements feed.Sources. The instances that rank next to the reader are its
+// deputies. In a zone that has no more instances than these, each one reads the store:
+// it is found out sooner there that a deputy fails too.
+func (s *Sources) Deputy(failed int) feed.PeerSource {
+	self := s.members.Self()
+	ranked := append(s.members.Usable(self.Zone), self)
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(readerRank(a), readerRank(b)) })
+	place := slices.IndexFunc(ranked, func(m Member) bool { return m.ID == self.ID })
+	if len(ranked) <= 1+deputies || failed >= min(deputies, place-1) {
+		return nil
+	}
+	return s.source(ranked[1+failed])
+}
+
 // Any implements feed.Sources. The choice is random over all zones: the store may
 // turn away some instances, and whom it serves is not known.
 func (s *Sources) Any() feed.PeerSource {
