Log each change of what an instance believes of servers and of its source

Cause: the log lacked lines for servers that are ejected, answer again, are limited or no longer so, for a change of the source of the view, and for answers that were not delivered (logged without the request's id, at a level that is not written). A relay's line about missing parts did not name the attempts.

Change: the tracker reports each change of belief once, with the failures, the time of the attempt and the limit that decided it; the follower logs each change of its source with the age of its view; relays log the attempts of missing parts; an attempt that waits for room is in the trace of its request.

TestChangesOfBeliefAreReportedOnce.

--- a/pkg/feed/cycle.go
+++ b/pkg/feed/cycle.go
@@ -24,6 +24,7 @@
 type cycle struct {
 	follower *Follower
 	revision int64
+	origin   string // id of the source that has last answered
 	synced   bool
 	failures int       // in a row, of any source
 	stores   int       // failures of the store in a row
@@ -171,6 +172,11 @@
 }
 
 func (c *cycle) succeeded(source followed) {
+	if source.id != c.origin {
+		c.follower.logger.Info("source of the view changed", "origin", source.id, "before", c.origin, "revision", c.revision,
+			"view_age_ms", c.follower.Age().Milliseconds())
+		c.origin = source.id
+	}
 	if c.failures > 0 {
 		c.follower.logger.Info("source regained", "origin", source.id, "failed_calls", c.failures)
 	}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -44,9 +44,14 @@
 	if !ok || why == hedge && (choice.Paused || choice.Full || choice.Ejected || r.late(choice, now)) {
 		return false
 	}
-	if l.waits = r.mustWait(choice, why, now); l.waits {
+	if r.mustWait(choice, why, now) {
+		if !l.waits {
+			r.trouble(l, Trouble{Server: choice.Server.ID, Event: "waits for room"})
+		}
+		l.waits = true
 		return true
 	}
+	l.waits = false
 	if l.arrivals == 0 && !r.paid {
 		r.startFirst(l, choice.Server, why, now)
 		return true
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -106,13 +106,17 @@
 func (g *gathering) finish(result *PartsResult) {
 	r := g.run
 	result.Final = true
+	result.Troubles = r.trace.Troubles
 	result.Attempts, result.Hedges, result.Retries = r.trace.Attempts, r.trace.Hedges, r.trace.Retries
 	for i, l := range r.legs {
 		if l.reply != nil {
 			continue
 		}
 		lost := LostPart{Index: i, Arrivals: l.arrivals, MayRun: l.mayRun || l.running > 0, Again: l.again, Event: "still running"}
-		if l.lost {
+		switch {
+		case l.lost && l.arrivals == 0:
+			lost.Event = "no backend server had room"
+		case l.lost:
 			lost.Event = "no backend server answered"
 		}
 		result.Lost = append(result.Lost, lost)
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -49,6 +49,8 @@
 	Parts    []Part
 	Body     []byte     // greatest records of all parts, when merged
 	Lost     []LostPart // only in the final result
+	// Troubles are for the receiver's log; they are not sent.
+	Troubles []Trouble
 	Attempts int
 	Hedges   int
 	Retries  int
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -29,7 +29,7 @@
 func (w *world) addPeer() *peer {
 	engine := New(Config{
 		Directory: w.directory,
-		Tracker:   replicas.New(there),
+		Tracker:   replicas.New(there, ignoreChange),
 		Budget:    w.budget,
 		Caller:    w,
 		Zone:      there,
--- a/pkg/forward/world_test.go
+++ b/pkg/forward/world_test.go
@@ -46,7 +46,7 @@
 	w.budget = extras.New(testLimits, func() float64 { return 1 })
 	w.engine = New(Config{
 		Directory: w.directory,
-		Tracker:   replicas.New(here),
+		Tracker:   replicas.New(here, ignoreChange),
 		Budget:    w.budget,
 		Caller:    w,
 		Zone:      here,
@@ -56,6 +56,8 @@
 	return w
 }
 
+func ignoreChange(replicas.Change) {}
+
 func (w *world) ZoneShare() float64 { return 1 }
 func (w *world) Remote() int        { return 1 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -46,7 +45,7 @@
 	id, patience := g.codec.Stated(r.Header)
 	e := exchange{ID: id, Method: r.Method, Path: r.URL.Path, Arrived: arrived, Patience: patience}
 	answer := g.answer(r, &e)
-	e.Status = g.write(w, answer)
+	e.Status = g.write(w, id, answer)
 	e.Answer = answer
 	e.Took = time.Since(arrived)
 	g.recorder.record(r.Context(), &e)
@@ -130,10 +129,10 @@
 	return body, nil
 }
 
-// logWriteError tells apart a caller that has left, which is no fault.
+// logWriteError records an answer that its caller did not get, mostly because it has
+// closed the connection.
 func logWriteError(logger *slog.Logger, id string, err error) {
-	if err == nil || errors.Is(err, context.Canceled) {
-		return
+	if err != nil {
+		logger.Info("answer not delivered", "request_id", id, "error", err)
 	}
-	logger.Debug("answer not delivered", "request_id", id, "error", err)
 }
--- a/pkg/gateway/write.go
+++ b/pkg/gateway/write.go
@@ -9,21 +9,21 @@
 )
 
 // write sends an answer and returns its status.
-func (g *Gateway) write(w http.ResponseWriter, answer *forward.Answer) int {
+func (g *Gateway) write(w http.ResponseWriter, id string, answer *forward.Answer) int {
 	switch {
 	case answer.Reply != nil:
-		return g.writeReply(w, answer.Reply)
+		return g.writeReply(w, id, answer.Reply)
 	case answer.Merged != nil:
 		g.codec.Merged(w.Header(), answer.Merged)
 		w.Header().Set("Content-Type", "application/octet-stream")
-		return g.writeBody(w, http.StatusOK, answer.Merged.Body)
+		return g.writeBody(w, id, http.StatusOK, answer.Merged.Body)
 	default:
-		return g.writeRefusal(w, answer.Refusal)
+		return g.writeRefusal(w, id, answer.Refusal)
 	}
 }
 
 // writeReply passes a backend server's reply on unchanged.
-func (g *Gateway) writeReply(w http.ResponseWriter, reply *forward.Reply) int {
+func (g *Gateway) writeReply(w http.ResponseWriter, id string, reply *forward.Reply) int {
 	header := w.Header()
 	for name, values := range reply.Header {
 		header[name] = values
@@ -34,26 +34,26 @@
 	if _, stated := header["Date"]; !stated {
 		header["Date"] = nil
 	}
-	return g.writeBody(w, reply.Status, reply.Body)
+	return g.writeBody(w, id, reply.Status, reply.Body)
 }
 
-func (g *Gateway) writeBody(w http.ResponseWriter, status int, body []byte) int {
+func (g *Gateway) writeBody(w http.ResponseWriter, id string, status int, body []byte) int {
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	w.WriteHeader(status)
 	_, err := w.Write(body)
-	logWriteError(g.recorder.logger, "", err)
+	logWriteError(g.recorder.logger, id, err)
 	return status
 }
 
-func (g *Gateway) writeRefusal(w http.ResponseWriter, refusal *forward.Refusal) int {
+func (g *Gateway) writeRefusal(w http.ResponseWriter, id string, refusal *forward.Refusal) int {
 	status := refusalStatus(refusal)
 	if refusal.RetryAfter > 0 && refusal.NotRun {
 		w.Header().Set("Retry-After", formatSeconds(refusal.RetryAfter))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	return g.writeBody(w, status, []byte(string(refusal.Reason)+"\n"))
+	return g.writeBody(w, id, status, []byte(string(refusal.Reason)+"\n"))
 }
 
 // refusalStatus maps a refusal to a status. 503 promises that the request has
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -118,7 +118,7 @@
 	relays := peering.NewRelays(r.members, r.client)
 	engine := forward.New(forward.Config{
 		Directory: r.directory,
-		Tracker:   replicas.New(s.Instance.Zone),
+		Tracker:   replicas.New(s.Instance.Zone, r.logServer),
 		Budget:    r.budget,
 		Caller:    r.sender,
 		Zone:      s.Instance.Zone,
@@ -145,6 +145,12 @@
 	)
 }
 
+// logServer records what this instance has come to believe of a backend server.
+func (r *Relay) logServer(c replicas.Change) {
+	r.logger.Info("backend server "+string(c.Kind), "backend_server", c.Server, "service", c.Service,
+		"failures", c.Failures, "ejections", c.Ejections, "took_ms", c.Took.Milliseconds(), "limit", c.Limit)
+}
+
 func (r *Relay) idleTimeout() time.Duration {
 	if table := r.follower.Table(); table != nil {
 		return table.Limits().IdleTimeout
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -1,31 +1,58 @@
 package replicas
 
-import "time"
+import (
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+)
 
 // Attempt is one request that runs at a backend server.
 type Attempt struct {
 	tracker *Tracker
+	target  *directory.Server
 	server  *server
 	route   string
 	began   time.Time
 	until   time.Time // a later reply is of no use
-	// capacity is the number of requests that the server runs at once.
-	capacity int
-	ended    bool
+	ended   bool
 }
 
 // End records the outcome. Only the first call has an effect.
 func (a *Attempt) End(outcome Outcome, now time.Time) {
+	for _, change := range a.end(outcome, now) {
+		a.tracker.observe(change)
+	}
+}
+
+func (a *Attempt) end(outcome Outcome, now time.Time) []Change {
 	a.tracker.mu.Lock()
 	defer a.tracker.mu.Unlock()
 	if a.ended {
-		return
+		return nil
 	}
 	a.ended = true
+	before, failures, ejections := a.server.belief(), a.server.failures, a.server.ejections
+	took := now.Sub(a.began)
+	a.record(outcome, took, now)
+	var changes []Change
+	for _, kind := range a.server.changesSince(before) {
+		changes = append(changes, Change{
+			Kind:      kind,
+			Server:    a.target.ID,
+			Service:   a.target.Service,
+			Failures:  max(failures, a.server.failures),
+			Ejections: max(ejections, a.server.ejections),
+			Took:      took,
+			Limit:     a.server.limit.value,
+		})
+	}
+	return changes
+}
+
+func (a *Attempt) record(outcome Outcome, took time.Duration, now time.Time) {
 	a.server.remove(a)
 	a.server.age(now)
 	a.server.lastEnd = now
-	took := now.Sub(a.began)
 	known := a.tracker.usualLocked(a.route)
 	ratio := float64(took) / float64(known.get())
 	switch outcome {
@@ -34,7 +61,7 @@
 		a.server.recordSlowness(ratio)
 		a.server.recordFault(false)
 		a.server.succeed()
-		a.server.limit.raise(float64(took)/float64(max(a.until.Sub(a.began), 1)), a.capacity)
+		a.server.limit.raise(float64(took)/float64(max(a.until.Sub(a.began), 1)), a.target.Capacity)
 	case Refused:
 		a.server.recordFault(true)
 	case Misplaced:
@@ -43,7 +70,7 @@
 		a.server.recordFault(true)
 		a.server.fail(now)
 	case Expired:
-		a.server.limit.lower(a.began, now, a.capacity)
+		a.server.limit.lower(a.began, now, a.target.Capacity)
 		a.server.recordLate(ratio)
 	case Abandoned:
 		a.server.recordLate(ratio)
--- a/pkg/replicas/replicas_test.go
+++ b/pkg/replicas/replicas_test.go
@@ -24,12 +24,14 @@
 // bench drives a tracker with two replicas on a virtual clock.
 type bench struct {
 	*Tracker
+	changes       []Change
 	now           time.Time
 	local, remote *directory.Server
 }
 
 func newBench() *bench {
-	b := &bench{Tracker: New("here"), now: time.Unix(1000, 0), local: serverIn("a", "here"), remote: serverIn("b", "there")}
+	b := &bench{now: time.Unix(1000, 0), local: serverIn("a", "here"), remote: serverIn("b", "there")}
+	b.Tracker = New("here", func(c Change) { b.changes = append(b.changes, c) })
 	for range 50 {
 		b.call(b.local, normal, Answered)
 		b.call(b.remote, normal, Answered)
@@ -142,3 +144,28 @@
 	b.call(serverIn("c", "here"), normal, Answered)
 	assert.Equal(t, len(b.servers), 1)
 }
+
+// Guards against a belief that changes without a line in the log, and against a line
+// for every failure of a server that is known to be down.
+func TestChangesOfBeliefAreReportedOnce(t *testing.T) {
+	b := newBench()
+	assert.Equal(t, len(b.changes), 0)
+	for range 5 {
+		b.call(b.local, normal, Failed)
+		b.now = b.now.Add(longestEjection)
+	}
+	b.call(b.local, normal, Answered)
+	for range 3 {
+		b.call(b.local, normal, Expired)
+	}
+	for range fastReplies {
+		b.call(b.local, normal, Answered)
+	}
+	var kinds []ChangeKind
+	for _, c := range b.changes {
+		assert.Equal(t, c.Server, b.local.ID)
+		kinds = append(kinds, c.Kind)
+	}
+	assert.DeepEqual(t, kinds, []ChangeKind{ChangeEjected, ChangeReturned, ChangeLimited, ChangeLifted})
+	assert.Equal(t, b.changes[0].Failures, failuresToEject)
+}
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -21,7 +21,8 @@
 // Tracker holds the observations of this instance. It is safe for concurrent
 // use.
 type Tracker struct {
-	zone string // this instance's availability zone
+	zone    string       // this instance's availability zone
+	observe func(Change) // called without locks held
 
 	mu      sync.Mutex
 	servers map[string]*server // by directory.Server.Key
@@ -29,9 +30,10 @@
 	swept   time.Time
 }
 
-// New returns a tracker that knows nothing, for an instance in the zone.
-func New(zone string) *Tracker {
-	return &Tracker{zone: zone, servers: make(map[string]*server), usual: make(map[string]*usual)}
+// New returns a tracker that knows nothing, for an instance in the zone. Observe is
+// told of each change of the view of a server and must not block.
+func New(zone string, observe func(Change)) *Tracker {
+	return &Tracker{zone: zone, observe: observe, servers: make(map[string]*server), usual: make(map[string]*usual)}
 }
 
 // Begin records that a request of the route is sent to a server. A reply after until
@@ -40,7 +42,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.serverLocked(s.Key(), now)
-	a := &Attempt{tracker: t, server: known, route: route, began: now, until: until, capacity: s.Capacity}
+	a := &Attempt{tracker: t, server: known, target: s, route: route, began: now, until: until}
 	known.running = append(known.running, a)
 	return a
 }
