--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -45,10 +45,10 @@
 
 // PartsResult holds the parts that have come since the result before.
 type PartsResult struct {
-	Final    bool // nothing follows
-	Parts    []Part
-	Body     []byte     // greatest records of all parts, when merged
-	Lost     []LostPart // only in the final result
+	Final bool // nothing follows
+	Parts []Part
+	Body  []byte     // greatest records of all parts, when merged
+	Lost  []LostPart // only in the final result
 	// Troubles are for the receiver's log; they are not sent.
 	Troubles []Trouble
 	Attempts int
