Limit attempts at a server only after a second moment without replies in time

Change: the limit starts when a second moment without replies in time follows within a second, with no fast reply between them. TestPausesAreNoShortage failed before.

--- a/pkg/replicas/limit.go
+++ b/pkg/replicas/limit.go
@@ -16,6 +16,9 @@
 	// fastReplies of them in a row the limit is lifted.
 	fastShare   = 0.4
 	fastReplies = 3
+	// lateWindow is the time in which a second moment without replies in time has to
+	// follow the first: a server that pauses once is not short of room.
+	lateWindow = time.Second
 )
 
 // limit is the number of attempts that this instance may run at one server at a
@@ -23,9 +26,9 @@
 // more work than it can do in time, so that requests wait here, where they can be
 // given up, and not in its queue. Below 1, a pause follows each attempt.
 type limit struct {
-	value float64 // 0 is none
-	cut   time.Time
-	fast  int // fast replies in a row
+	value float64   // 0 is none
+	cut   time.Time // when an attempt was last found not to be in time
+	fast  int       // fast replies in a row
 }
 
 // lower takes an attempt into account that was not in time. The limit is lowered at
@@ -35,16 +38,22 @@
 	if began.Before(l.cut) {
 		return
 	}
-	if l.value == 0 {
-		l.value = float64(max(capacity, 1)) / limitCut
-	}
-	l.value = max(l.value*limitCut, leastLimit)
+	repeated := now.Sub(l.cut) <= lateWindow
 	l.cut, l.fast = now, 0
+	switch {
+	case l.value != 0:
+		l.value = max(l.value*limitCut, leastLimit)
+	case repeated:
+		l.value = float64(max(capacity, 1))
+	}
 }
 
 // raise takes a reply into account that took a share of the time that it had.
 func (l *limit) raise(share float64, capacity int) {
 	if l.value == 0 {
+		if share <= fastShare {
+			l.cut = time.Time{}
+		}
 		return
 	}
 	if share > fastShare {
--- a/pkg/replicas/limit_test.go
+++ b/pkg/replicas/limit_test.go
@@ -18,6 +18,11 @@
 	for range 10 {
 		l.lower(now, now.Add(100*time.Millisecond), slots)
 	}
+	assert.Equal(t, l.value, 0.0, "one pause")
+	now = now.Add(150 * time.Millisecond)
+	for range 10 {
+		l.lower(now, now.Add(100*time.Millisecond), slots)
+	}
 	assert.Equal(t, l.value, float64(slots))
 	assert.Assert(t, l.full(slots, 0, time.Second))
 	assert.Assert(t, !l.full(slots-1, 0, time.Second))
@@ -42,12 +47,25 @@
 	assert.Assert(t, l.full(1, 10*usual, usual))
 }
 
+// Guards against a limit after two pauses with fast replies between them.
+func TestPausesAreNoShortage(t *testing.T) {
+	var l limit
+	now := time.Unix(1000, 0)
+	for range 10 {
+		l.lower(now, now.Add(100*time.Millisecond), slots)
+		l.raise(0.1, slots)
+		now = now.Add(500 * time.Millisecond)
+	}
+	assert.Equal(t, l.value, 0.0)
+}
+
 // Guards against a limit that outlives the shortage, and against one that a few late
 // replies lift.
 func TestLimitIsLiftedByFastReplies(t *testing.T) {
 	var l limit
 	now := time.Unix(1000, 0)
 	l.lower(now, now, slots)
+	l.lower(now, now, slots)
 	for range 100 {
 		l.raise(0.9, slots)
 	}
