--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -212,6 +212,7 @@
 	s.awaitReady(t)
 	s.awaitComplete(t, c)
 	problems, answers := c.finish(s.servers)
+	problems = append(problems, judgeLoad(s.servers, answers)...)
 	for _, p := range s.processes {
 		for _, end := range p.unexpectedEnds() {
 			problems = append(problems, fmt.Sprintf("process %s ended by itself: %s", p.id, end))
