Look at the list again before an attempt that has waited, judge expiry once

Cause: an attempt that waits for room used the list of servers from the start of its request, and could reach one that had begun to leave. Whether an attempt had expired was judged twice, at different times.

Change: waiting attempts take the servers of the moment; expiry is decided when the reply comes, for parts only. TestRequestThatWaitedDoesNotGoToALeavingServer failed before.

--- a/pkg/forward/absorb.go
+++ b/pkg/forward/absorb.go
@@ -43,7 +43,7 @@
 // note records an attempt without a result.
 func (r *run) note(l *leg, res result) {
 	t := Trouble{Server: res.server.ID, Took: time.Since(res.began)}
-	if res.expired() && res.until.Before(r.timing.deadline) {
+	if res.expired {
 		t.Event = "not in time"
 		l.mayRun = l.mayRun || !res.reply.NotRun
 		l.again = append(l.again, res.server.ID)
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -23,15 +23,11 @@
 	leg    int
 	server *directory.Server
 	began  time.Time
-	until  time.Time // when the server may have stopped
-	reply  *Reply
-	err    *CallError // when reply is nil
-}
-
-// expired reports whether the server has stopped because it was told that a later
-// reply is of no use.
-func (res *result) expired() bool {
-	return res.reply != nil && !res.reply.success() && !res.reply.Misplaced && !time.Now().Before(res.until)
+	// expired is set when the server has stopped work on a part because it was told
+	// that a later reply is of no use.
+	expired bool
+	reply   *Reply
+	err     *CallError // when reply is nil
 }
 
 // launch starts an attempt and reports whether it did.
@@ -238,11 +234,13 @@
 func (r *run) attempt(index int, call Call, observed *replicas.Attempt, began time.Time) {
 	defer r.release()
 	reply, err := r.engine.caller.Call(r.ctx, call)
-	res := result{leg: index, server: call.Server, began: began, until: call.Until, reply: reply}
+	res := result{leg: index, server: call.Server, began: began, reply: reply}
 	if err != nil && !errors.As(err, &res.err) {
 		res.err = &CallError{Sent: true, Detail: "call failed", Cause: err}
 	}
-	observed.End(outcomeOf(&res, r.ctx.Err()), time.Now())
+	now := time.Now()
+	res.expired = r.route.Sharded() && reply != nil && !reply.success() && !reply.Misplaced && !now.Before(call.Until)
+	observed.End(outcomeOf(&res, r.ctx.Err()), now)
 	deliver(r.ctx, r.results, res)
 }
 
@@ -263,7 +261,7 @@
 func outcomeOf(res *result, ended error) replicas.Outcome {
 	reply := res.reply
 	switch {
-	case res.expired():
+	case res.expired:
 		return replicas.Expired
 	case reply != nil && reply.Misplaced:
 		return replicas.Misplaced
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -8,6 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
@@ -114,3 +117,34 @@
 		assert.Equal(t, len(w.arrivals), 3)
 	})
 }
+
+// The pattern: a request waits for room at a server that begins to leave meanwhile.
+// Guards against sending it there once there is room.
+func TestRequestThatWaitedDoesNotGoToALeavingServer(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.sharded(1, 1)
+		w.directory.Remove("s00.b")
+		w.settle(route)
+		servers := w.directory.Servers("s00")
+		assert.Equal(t, len(servers), 1)
+		for range 2 {
+			now := time.Now()
+			w.engine.tracker.Begin(servers[0], route.Name, now, now).End(replicas.Expired, now)
+		}
+		now := time.Now()
+		occupied := []*replicas.Attempt{w.engine.tracker.Begin(servers[0], route.Name, now, now), w.engine.tracker.Begin(servers[0], route.Name, now, now)}
+		go func() {
+			time.Sleep(30 * time.Millisecond)
+			leaving := servers[0].BackendServer
+			leaving.State = membership.StateLeaving
+			w.directory.Put(directory.Entry{Server: leaving, Capacity: 2})
+			w.addServer("s00", "s00.c", here)
+			for _, a := range occupied {
+				a.End(replicas.Answered, time.Now())
+			}
+		}()
+		answer, _ := w.ask(background, route)
+		assert.Assert(t, answer.Merged != nil, "%+v", answer.Refusal)
+		assert.DeepEqual(t, w.arrivals, []string{"s00 s00.c"})
+	})
+}
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -29,8 +29,12 @@
 // a relay to the sender, which knows whether too many shards are missing.
 func (r *run) resume(now time.Time) {
 	for _, l := range r.legs {
+		if !l.waits {
+			continue
+		}
+		// A server may have begun to leave meanwhile.
+		l.servers = r.engine.directory.Servers(l.service)
 		switch {
-		case !l.waits:
 		case r.relayed && !now.Before(r.timing.cutoff):
 			l.waits = false
 			r.lose(l)
