Give room at overloaded servers to requests of the higher rank

Cause: the table's priorities were not used under overload: requests of all ranks took the room of a limited server as they came.

Change: while requests of a higher rank come, a request of a lower one starts at a limited server only when that has nothing else to do, until its answer is due.

--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -16,6 +16,7 @@
 	tracker   *replicas.Tracker
 	budget    *extras.Budget
 	weights   *routing.Weights
+	ranks     *ranks
 	caller    Caller
 	zone      string
 	relays    Relays
@@ -49,6 +50,7 @@
 		tracker:   config.Tracker,
 		budget:    config.Budget,
 		weights:   routing.NewWeights(),
+		ranks:     newRanks(),
 		caller:    config.Caller,
 		zone:      config.Zone,
 		relays:    config.Relays,
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -148,3 +148,34 @@
 		assert.DeepEqual(t, w.arrivals, []string{"s00 s00.c"})
 	})
 }
+
+// The pattern: requests of two ranks at shards that cannot serve all of them. Guards
+// against room that goes to requests of the lower rank while others wait for it.
+func TestRoomGoesToTheHigherRank(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		first := w.sharded(4, 1)
+		second := *first
+		second.Name, second.Priority = "second", first.Priority+1
+		w.settle(first)
+		w.settle(&second)
+		for _, id := range []string{"s00.a", "s00.b"} {
+			w.set(id, w.counted(queuedServer(100*time.Millisecond)))
+		}
+		// 40 a second fit; each rank sends 30.
+		var group sync.WaitGroup
+		inTime := map[string]int{}
+		var mu sync.Mutex
+		for _, route := range []*routing.Route{first, &second} {
+			group.Go(func() {
+				n, _, _ := w.load(route, 30, 10*time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				inTime[route.Name] = n
+			})
+		}
+		group.Wait()
+		// What fits is the whole of the higher rank and a third of the lower one.
+		assert.Assert(t, inTime[first.Name] > 300*2/3, "%v", inTime)
+		assert.Assert(t, inTime[first.Name] > 2*inTime[second.Name], "%v", inTime)
+	})
+}
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -69,6 +69,7 @@
 	}
 	if route.Sharded() {
 		r.trace.Shards = len(services)
+		e.ranks.note(route.Priority, request.Arrived)
 	} else {
 		r.trace.Service = services[0]
 	}
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -8,13 +8,14 @@
 )
 
 // mustWait reports whether a first attempt has to wait until its server has room. One
-// that will be late anyway waits until the server has nothing else to do.
+// that will be late anyway, or that others go before by the table's priorities, waits
+// until the server has nothing else to do.
 func (r *run) mustWait(choice replicas.Choice, why purpose, now time.Time) bool {
 	if why != first || !r.route.Sharded() {
 		return false
 	}
 	if now.Before(r.timing.cutoff) {
-		return choice.Full || r.late(choice, now)
+		return choice.Full || r.late(choice, now) || choice.Busy && r.engine.ranks.outranked(r.route.Priority, now)
 	}
 	return choice.Busy
 }
