Name the caller's time as the cause, and crashes for requests without a line

Cause: of twelve unserved requests that were explained from logs, one was refused as "no-backend-server, 30 of 30 shards lost" while its caller had 4 ms left, and five had no line because their instance had lost power, which the explanation did not say.

Change: a request without time for an attempt is refused as timed out, as not run and without Retry-After. `explain` lists the instances that ended without a stop when no line names the request. TestRequestWithoutTimeIsNotBlamedOnServers failed before.

--- a/pkg/cli/explaincommand.go
+++ b/pkg/cli/explaincommand.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -36,6 +37,13 @@
 		lines = append(lines, found...)
 	}
 	result := explain.Of(c.Args.RequestID, lines)
+	if !result.Found {
+		crashes, err := readCrashes(c.Args.Files)
+		if err != nil {
+			return err
+		}
+		result = result.WithCrashes(crashes)
+	}
 	if err := c.write(c.Streams.Out, result, func(w io.Writer) error { return writeExplanation(w, result) }); err != nil {
 		return err
 	}
@@ -54,6 +62,22 @@
 	return explain.Read(file, requestID)
 }
 
+func readCrashes(names []string) ([]explain.Crash, error) {
+	var all []explain.Crash
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, eris.Wrap(err, "open log")
+		}
+		crashes, err := explain.Crashes(file)
+		if err := errors.Join(err, file.Close()); err != nil {
+			return nil, err
+		}
+		all = append(all, crashes...)
+	}
+	return all, nil
+}
+
 func writeExplanation(w io.Writer, e explain.Explanation) error {
 	if _, err := fmt.Fprintf(w, "%s: %s\n", e.RequestID, e.Cause); err != nil {
 		return err
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -16,6 +16,8 @@
 	// Lines are ordered by hops, not by time: the clocks of instances differ. The
 	// instance that the request arrived at comes first.
 	Lines []Line `json:"lines"`
+	// Crashes are instances that ended without a stop; only when nothing was found.
+	Crashes []Crash `json:"crashes,omitempty"`
 }
 
 // Of explains a request from the lines that name it.
--- a/pkg/forward/single_test.go
+++ b/pkg/forward/single_test.go
@@ -8,8 +8,26 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
+// Guards against a shortage of servers that is stated for a request whose caller had
+// no time left, and against telling such a caller to come back.
+func TestRequestWithoutTimeIsNotBlamedOnServers(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		for _, route := range []*routing.Route{w.single(true), w.sharded(5, 1)} {
+			now := time.Now()
+			answer := w.engine.Forward(background, routing.NewTable(1, nil, nil, routing.Limits{}), route,
+				&Request{ID: "id", Method: "GET", Target: "/x/1", Arrived: now, Deadline: now.Add(callerMargin / 2)})
+			assert.Equal(t, answer.Refusal.Reason, TimedOut)
+			assert.Assert(t, answer.Refusal.NotRun)
+			assert.Equal(t, answer.Refusal.RetryAfter, time.Duration(0))
+			assert.Equal(t, w.arrived(), 0)
+		}
+	})
+}
+
 // Guards against a change of the server's answer.
 func TestReplyIsPassedOn(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
--- a/pkg/forward/verdict.go
+++ b/pkg/forward/verdict.go
@@ -91,10 +91,13 @@
 	}
 }
 
-// refuseHopeless refuses a sharded request before anything is sent when too many
-// shards have no server that answers. Servers that failed are tried again when
+// refuseHopeless refuses a request before anything is sent when its caller's time is
+// over, and a sharded one when too many shards have no server that answers. Servers that failed are tried again when
 // their ejection ends.
 func (r *run) refuseHopeless(now time.Time) *Answer {
+	if left := r.timing.deadline.Sub(now); left <= 0 {
+		return r.refuse(TimedOut, "no time is left for an attempt")
+	}
 	if !r.route.Sharded() {
 		return nil
 	}
@@ -120,7 +123,7 @@
 			refusal.NotRun = false
 		}
 	}
-	if refusal.NotRun {
+	if refusal.NotRun && reason != TimedOut {
 		pause := noServerRetryAfter
 		if reason == ServersRefused {
 			pause = refusedRetryAfter
