--- a/pkg/explain/crash.go
+++ b/pkg/explain/crash.go
@@ -13,9 +13,9 @@
 // Crash is an instance that has started again without having stopped. Requests that
 // it had in progress have no line.
 type Crash struct {
-	Instance    string `json:"instance"`
-	StartedAt   string `json:"started_at"` // the next run, by the instance's own clock
-	LastMessage string `json:"last_record_at"`
+	Instance     string `json:"instance"`
+	StartedAt    string `json:"started_at"` // the next run, by the instance's own clock
+	LastRecordAt string `json:"last_record_at"`
 }
 
 // Crashes returns the crashes in a log, which may hold the lines of several instances.
@@ -42,7 +42,7 @@
 		switch record.Message {
 		case "started":
 			if running[record.Instance] {
-				crashes = append(crashes, Crash{Instance: record.Instance, StartedAt: record.Time, LastMessage: last[record.Instance]})
+				crashes = append(crashes, Crash{Instance: record.Instance, StartedAt: record.Time, LastRecordAt: last[record.Instance]})
 			}
 			running[record.Instance] = true
 		case "stopped":
@@ -61,7 +61,7 @@
 	e.Crashes = crashes
 	var texts []string
 	for _, c := range crashes {
-		texts = append(texts, c.Instance+" after "+c.LastMessage+" (started again at "+c.StartedAt+")")
+		texts = append(texts, c.Instance+" after "+c.LastRecordAt+" (started again at "+c.StartedAt+")")
 	}
 	e.Cause += "; instances that ended without a stop: " + strings.Join(texts, ", ")
 	return e
--- a/pkg/explain/crash_test.go
+++ b/pkg/explain/crash_test.go
@@ -20,7 +20,7 @@
 `
 	crashes, err := Crashes(strings.NewReader(log))
 	assert.NilError(t, err)
-	assert.DeepEqual(t, crashes, []Crash{{Instance: "a", StartedAt: "T6", LastMessage: "T3"}})
+	assert.DeepEqual(t, crashes, []Crash{{Instance: "a", StartedAt: "T6", LastRecordAt: "T3"}})
 	got := Of("9c42", nil).WithCrashes(crashes)
 	assert.Assert(t, strings.HasSuffix(got.Cause, "ended without a stop: a after T3 (started again at T6)"), got.Cause)
 	known := Of("9c41", []Line{{Instance: "a"}}).WithCrashes(crashes)
