Use deputies in zones of more than six instances only

Cause: read-through of the change. In a zone of four (three and a spare one) a change that two silent instances hold up would reach the others after 1.9 s, 0.4 s and a pause of up to 0.9 s, above the 3 s of the small deployments.

Change: in zones of up to six each instance reads the store at once, as before the deputies.

--- a/pkg/peering/members_test.go
+++ b/pkg/peering/members_test.go
@@ -199,7 +199,8 @@
 
 // Guards against an instance of a small zone that waits for deputies.
 func TestSmallZoneHasNoDeputies(t *testing.T) {
-	ids := []string{"a", "b", "c"}
+	ids := []string{"a", "b", "c", "d", "e", "f"}
+	assert.Equal(t, len(ids), smallZone)
 	for _, self := range ids {
 		m, _ := newMembers()
 		m.self = memberIn(self, "z1")
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -44,15 +44,19 @@
 // least one of them mostly, and all of them being silent is found out within 3 s.
 const deputies = 2
 
+// smallZone is the number of instances up to which each one reads the store when the
+// reader fails: few calls are saved there, and a change that two silent instances hold
+// up would be late, by the 3 s of small deployments.
+const smallZone = 6
+
 // Deputy implements feed.Sources. The instances that rank next to the reader are its
-// deputies. In a zone that has no more instances than these, each one reads the store:
-// it is found out sooner there that a deputy fails too.
+// deputies.
 func (s *Sources) Deputy(failed int) feed.PeerSource {
 	self := s.members.Self()
 	ranked := append(s.members.Usable(self.Zone), self)
 	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(readerRank(a), readerRank(b)) })
 	place := slices.IndexFunc(ranked, func(m Member) bool { return m.ID == self.ID })
-	if len(ranked) <= 1+deputies || failed >= min(deputies, place-1) {
+	if len(ranked) <= smallZone || failed >= min(deputies, place-1) {
 		return nil
 	}
 	return s.source(ranked[1+failed])
