Repeat given-up parts when the answer is due, and start limits after a pause only

(1) A relay's servers stop 16 ms before the answer is due. The sender took their parts for lost, asked again at once with no time left, or failed the request.

Change: parts that a relay has given up wait until the answer is due; nothing is started when it goes out. A second moment has to come 250 ms after the first, and a limit is lifted when no attempt was late or slow for 2 s.

TestPartsThatARelayHasGivenUpAreAskedAgainWhenTheAnswerIsDue, TestNothingIsAskedAgainWhenTheAnswerGoesOut and TestShortRequestsDoNotLimitAPausingServer failed before.

--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -256,6 +256,7 @@
 		l.direct = true
 		l.arrivals += p.Arrivals - 1
 		l.mayRun = l.mayRun || p.MayRun
+		l.tried = append(l.tried, p.Again...)
 		l.again = append(l.again, p.Again...)
 		if p.Arrivals == 0 && g.extra {
 			r.refund(l)
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -178,16 +178,17 @@
 	if !now.Before(r.timing.deadline) || l.arrivals >= max(r.route.MaxAttempts, 1) {
 		return false
 	}
-	if why != first && r.tooLate(now) {
+	if why != first && r.tooLate(l, now) {
 		return false
 	}
 	return why == first || r.route.Repeatable || !l.mayRun && l.running == 0
 }
 
 // tooLate reports whether a further attempt cannot be in the answer, because
-// that goes out before its reply can be there.
-func (r *run) tooLate(now time.Time) bool {
-	if !r.route.Sharded() || r.have < r.route.RequiredShards() {
+// that goes out before its reply can be there. One that can be repeated when the answer
+// is due, and then has the whole time, is not made shortly before.
+func (r *run) tooLate(l *leg, now time.Time) bool {
+	if !r.route.Sharded() || r.have < r.route.RequiredShards() && (len(l.again) == 0 || !now.Before(r.timing.cutoff)) {
 		return false
 	}
 	return now.Add(r.engine.usual(r.route) / 2).After(r.timing.cutoff)
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -98,6 +98,43 @@
 	})
 }
 
+// The pattern: more shards of another zone are slow than the route allows to be missing,
+// and their relay's servers stop shortly before the answer is due. Guards against a
+// request that fails at that moment, or asks for parts that cannot be in time.
+func TestPartsThatARelayHasGivenUpAreAskedAgainWhenTheAnswerIsDue(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.onlyThere(20)
+		w.addPeer()
+		w.settle(route)
+		for _, shard := range []string{"s03", "s07", "s11"} {
+			w.set(shard+".b", w.counted(queuedServer(300*time.Millisecond)))
+		}
+		answer, took := w.ask(background, route)
+		assert.Assert(t, answer.Merged != nil, "%+v", answer.Refusal)
+		assert.Equal(t, answer.Merged.Missing <= 2, true)
+		assert.Assert(t, took > 400*time.Millisecond && took < 600*time.Millisecond, "%v", took)
+		assert.Equal(t, w.arrived(), 20+3)
+	})
+}
+
+// The same with as many slow shards as the route allows to be missing. Guards against
+// work that is started in the moment in which the answer goes out without it.
+func TestNothingIsAskedAgainWhenTheAnswerGoesOut(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.onlyThere(20)
+		w.addPeer()
+		w.settle(route)
+		for _, shard := range []string{"s03", "s07"} {
+			w.set(shard+".b", w.counted(queuedServer(300*time.Millisecond)))
+		}
+		answer, took := w.ask(background, route)
+		assert.Equal(t, answer.Merged.Missing, 2)
+		assert.Assert(t, took <= route.Target, "%v", took)
+		time.Sleep(time.Second)
+		assert.Equal(t, w.arrived(), 20)
+	})
+}
+
 // Guards against a third server that is asked for a shard when the route allows two.
 func TestPartsAreAskedAgainOnlyAtTheSameServers(t *testing.T) {
 	simulate(t, func(t *testing.T, w *world) {
@@ -128,6 +165,7 @@
 		servers := w.directory.Servers("s00")
 		assert.Equal(t, len(servers), 1)
 		for range 2 {
+			time.Sleep(500 * time.Millisecond) // longer than a pause
 			now := time.Now()
 			w.engine.tracker.Begin(servers[0], route.Name, now, now).End(replicas.Expired, now)
 		}
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -29,6 +29,9 @@
 // resume starts attempts that have waited. After the answer is due it leaves those of
 // a relay to the sender, which knows whether too many shards are missing.
 func (r *run) resume(now time.Time) {
+	if !r.relayed && r.have >= r.route.RequiredShards() && !now.Before(r.timing.cutoff) {
+		return // the answer goes out
+	}
 	for _, l := range r.legs {
 		if !l.waits {
 			continue
@@ -55,9 +58,14 @@
 func (r *run) askAgain(l *leg) bool {
 	now := time.Now()
 	l.waits = false
-	if r.relayed || len(l.again) == 0 || now.Before(r.timing.cutoff) || !now.Before(r.timing.deadline) {
+	if r.relayed || len(l.again) == 0 || !now.Before(r.timing.deadline) {
 		return false
 	}
+	if now.Before(r.timing.cutoff) {
+		// A relay's servers stop a little earlier than the answer is due.
+		l.waits = true
+		return true
+	}
 	choice, ok := r.engine.tracker.Choose(l.servers, r.route.Name, func(id string) bool { return !slices.Contains(l.again, id) }, now)
 	if ok && choice.Busy {
 		l.waits = true
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -61,7 +61,7 @@
 		a.server.recordSlowness(ratio)
 		a.server.recordFault(false)
 		a.server.succeed()
-		a.server.limit.raise(float64(took)/float64(max(a.until.Sub(a.began), 1)), a.target.Capacity)
+		a.server.limit.raise(float64(took)/float64(max(a.until.Sub(a.began), 1)), a.target.Capacity, now)
 	case Refused:
 		a.server.recordFault(true)
 	case Misplaced:
--- a/pkg/replicas/limit.go
+++ b/pkg/replicas/limit.go
@@ -19,6 +19,11 @@
 	// lateWindow is the time in which a second moment without replies in time has to
 	// follow the first: a server that pauses once is not short of room.
 	lateWindow = time.Second
+	// longestPause is how long one pause of a server may delay attempts: those that it
+	// delays are one moment, however short the time is that each has.
+	longestPause = 250 * time.Millisecond
+	// limitMemory lifts a limit when no attempt was late or slow for so long.
+	limitMemory = 2 * time.Second
 )
 
 // limit is the number of attempts that this instance may run at one server at a
@@ -28,6 +33,7 @@
 type limit struct {
 	value float64   // 0 is none
 	cut   time.Time // when an attempt was last found not to be in time
+	held  time.Time // when an attempt last was late or slow
 	fast  int       // fast replies in a row
 }
 
@@ -38,18 +44,28 @@
 	if began.Before(l.cut) {
 		return
 	}
-	repeated := now.Sub(l.cut) <= lateWindow
-	l.cut, l.fast = now, 0
+	since := now.Sub(l.cut)
+	if l.value == 0 && since < longestPause {
+		return
+	}
+	l.cut, l.held, l.fast = now, now, 0
 	switch {
 	case l.value != 0:
 		l.value = max(l.value*limitCut, leastLimit)
-	case repeated:
+	case since <= lateWindow:
 		l.value = float64(max(capacity, 1))
 	}
 }
 
+// age lifts a limit that has had no reason for long.
+func (l *limit) age(now time.Time) {
+	if l.value != 0 && now.Sub(l.held) > limitMemory {
+		*l = limit{}
+	}
+}
+
 // raise takes a reply into account that took a share of the time that it had.
-func (l *limit) raise(share float64, capacity int) {
+func (l *limit) raise(share float64, capacity int, now time.Time) {
 	if l.value == 0 {
 		if share <= fastShare {
 			l.cut = time.Time{}
@@ -57,7 +73,7 @@
 		return
 	}
 	if share > fastShare {
-		l.fast = 0
+		l.fast, l.held = 0, now
 	} else if l.fast++; l.fast >= fastReplies {
 		l.value = 0
 		return
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -54,6 +54,7 @@
 
 // age moves the estimates towards neutral.
 func (s *server) age(now time.Time) {
+	s.limit.age(now)
 	passed := now.Sub(s.updated)
 	if passed <= 0 {
 		return
