Judge a server only by attempts that had time, let relays use their spare time

Relays that got a request shortly before it was due gave servers less time than a usual reply takes and then took them for short of room; their servers stopped 16 ms before the answer was due, though the way back takes half of that.

Change: an attempt that is not in time counts for the limit only when it took 2.5 times the usual reply time, as for a pause; a relay's servers stop 8 ms later.

--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -22,6 +22,9 @@
 	// relayMargin is how much earlier than the answer the relay's parts are due:
 	// the way there and back.
 	relayMargin = 16 * time.Millisecond
+	// relaySpare is the part of it that the way back leaves: a part that a relay gets so
+	// much after its own cutoff still reaches the sender in time.
+	relaySpare = relayMargin / 2
 )
 
 // group is a set of legs that one relay answers. Its fields are used by the
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -33,6 +33,7 @@
 	r.paid = call.Extra
 	r.timing.deadline = call.Deadline
 	r.timing.cutoff = call.Cutoff
+	r.timing.spare = relaySpare
 	r.timing.hedge = max(r.timing.hedge, call.HedgeAfter)
 	if !call.Cutoff.After(time.Now()) {
 		r.timing.cutoff = call.Deadline
--- a/pkg/forward/timing.go
+++ b/pkg/forward/timing.go
@@ -33,6 +33,7 @@
 	cutoff   time.Time // from then on an answer with enough shards goes out
 	deadline time.Time // end of the request
 	hedge    time.Duration
+	spare    time.Duration // after the cutoff, in which a part can still reach the sender
 }
 
 // usefulUntil is when a reply to an attempt that starts now comes too late. A part of
@@ -40,8 +41,8 @@
 // works on parts nobody waits for any more is late with all others too. Attempts
 // after that moment have the whole time.
 func (t *timing) usefulUntil(route *routing.Route, now time.Time) time.Time {
-	if route.Sharded() && now.Before(t.cutoff) && t.cutoff.Before(t.deadline) {
-		return t.cutoff
+	if wanted := t.cutoff.Add(t.spare); route.Sharded() && now.Before(t.cutoff) && wanted.Before(t.deadline) {
+		return wanted
 	}
 	return t.deadline
 }
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -70,7 +70,10 @@
 		a.server.recordFault(true)
 		a.server.fail(now)
 	case Expired:
-		a.server.limit.lower(a.began, now, a.target.Capacity)
+		if ratio >= stallFactor {
+			// With less time the attempt tells nothing of the server.
+			a.server.limit.lower(a.began, now, a.target.Capacity)
+		}
 		a.server.recordLate(ratio)
 	case Abandoned:
 		a.server.recordLate(ratio)
