Let servers finish parts when answers go out late anyway

A third of the servers is slow there, servers stop when the answer is due, and the budget does not allow to ask again, so that requests fail that would have been answered late.

Change: each instance keeps, for each route, the share of shards that were late when the answer was due. Where it exceeds what an answer may lack, an attempt gets the whole time, except at servers that have too much work but are fast enough with less. A server that is late also with one attempt at a time is slow, and its limit is not lowered further. Relays are told the share that the answer may lack.

--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -17,6 +17,7 @@
 	budget    *extras.Budget
 	weights   *routing.Weights
 	ranks     *ranks
+	lateness  *lateness
 	caller    Caller
 	zone      string
 	relays    Relays
@@ -51,6 +52,7 @@
 		budget:    config.Budget,
 		weights:   routing.NewWeights(),
 		ranks:     newRanks(),
+		lateness:  newLateness(),
 		caller:    config.Caller,
 		zone:      config.Zone,
 		relays:    config.Relays,
--- a/pkg/forward/group.go
+++ b/pkg/forward/group.go
@@ -80,6 +80,7 @@
 		Top:         r.route.Top,
 		MaxAttempts: max(r.route.MaxAttempts, 1),
 		Priority:    r.route.Priority,
+		Missable:    r.missable,
 		Target:      r.route.Target,
 		Cutoff:      r.timing.cutoff.Add(-relayMargin),
 		Deadline:    r.timing.deadline,
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -49,41 +49,41 @@
 	}
 	l.waits = false
 	if l.arrivals == 0 && !r.paid {
-		r.startFirst(l, choice.Server, why, now)
+		r.startFirst(l, choice, why, now)
 		return true
 	}
 	if !r.paid && !r.spend(l, now) {
 		return false
 	}
-	r.startExtra(l, choice.Server, why, now)
+	r.startExtra(l, choice, why, now)
 	return true
 }
 
 // startFirst starts an attempt before which no server has been reached. It earns
 // budget where it is executed: here, or at the relay that it is handed to.
-func (r *run) startFirst(l *leg, server *directory.Server, why purpose, now time.Time) {
+func (r *run) startFirst(l *leg, choice replicas.Choice, why purpose, now time.Time) {
 	if !l.counted {
 		l.counted = true
-		if zone, relay := r.relayFor(l, server, why); relay != nil {
+		if zone, relay := r.relayFor(l, choice.Server, why); relay != nil {
 			r.enqueue(l, zone, relay, false, now)
 			return
 		}
 		r.engine.budget.Request(l.service, now)
 	}
-	r.begin(l, server, now)
-	r.countExtra(l, why, server.ID)
+	r.begin(l, choice, now)
+	r.countExtra(l, why, choice.Server.ID)
 }
 
 // startExtra starts an attempt beyond the first, which is paid for.
-func (r *run) startExtra(l *leg, server *directory.Server, why purpose, now time.Time) {
-	if zone, relay := r.relayFor(l, server, why); relay != nil {
-		l.tried = append(l.tried, server.ID)
+func (r *run) startExtra(l *leg, choice replicas.Choice, why purpose, now time.Time) {
+	if zone, relay := r.relayFor(l, choice.Server, why); relay != nil {
+		l.tried = append(l.tried, choice.Server.ID)
 		r.countExtra(l, why, relay.ID())
 		r.enqueue(l, zone, relay, true, now)
 		return
 	}
-	r.begin(l, server, now)
-	r.countExtra(l, why, server.ID)
+	r.begin(l, choice, now)
+	r.countExtra(l, why, choice.Server.ID)
 }
 
 // spend charges one more attempt of a leg to the budget.
@@ -203,32 +203,48 @@
 	return r.engine.tracker.Choose(r.engine.directory.LastResort(l.service), r.route.Name, l.wasTried, now)
 }
 
-func (r *run) begin(l *leg, server *directory.Server, now time.Time) {
+func (r *run) begin(l *leg, choice replicas.Choice, now time.Time) {
+	server := choice.Server
 	l.tried = append(l.tried, server.ID)
 	l.arrivals++
 	l.running++
 	l.last = now
 	r.trace.Attempts++
 	r.pending.Add(1)
+	due := r.timing.usefulUntil(r.route, now)
+	until := due
+	if r.mustFinish(choice, now) {
+		until = r.timing.deadline
+	}
 	call := Call{
 		Request:     r.request,
 		Server:      server,
 		Connections: r.engine.connections(r.maxConnections(l.service), server.Zone),
 		Fresh:       !r.route.Repeatable,
-		Until:       r.timing.usefulUntil(r.route, now),
+		Until:       until,
 		Needed:      func() bool { return !l.settled.Load() },
 	}
-	observed := r.engine.tracker.Begin(server, r.route.Name, now, r.wantedBy(now))
+	observed := r.engine.tracker.Begin(server, r.route.Name, now, r.wantedBy(due, now))
 	go r.attempt(l.index, call, observed, now)
 }
 
 // wantedBy is when the reply to an attempt that starts now is due; one that is late
 // anyway is not judged by its time.
-func (r *run) wantedBy(now time.Time) time.Time {
+func (r *run) wantedBy(due, now time.Time) time.Time {
 	if r.route.Sharded() && !now.Before(r.timing.cutoff) {
 		return now
 	}
-	return r.timing.usefulUntil(r.route, now)
+	return due
+}
+
+// mustFinish reports whether a server has to work on a part also when the answer was due
+// before. It has to when answers go out late anyway, because more shards than they may
+// lack are late, unless the server has too much work but could be in time with less.
+func (r *run) mustFinish(choice replicas.Choice, now time.Time) bool {
+	if !r.route.Sharded() || choice.Expected > 0 && !choice.Slow {
+		return false
+	}
+	return r.engine.lateness.share(r.route.Name, now) > r.missable
 }
 
 // attempt runs in its own goroutine, also after the request has its answer.
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -98,6 +98,23 @@
 	})
 }
 
+// The pattern: for long, more shards are slow than the route allows to be missing, so
+// that no request can be in time and the budget for extra attempts is used up. Guards
+// against requests that fail because their parts were given up when the answer was due
+// and cannot be asked for again. The first ones may, until the slow shards are known.
+func TestPartsAreNotGivenUpThatCannotBeAskedForAgain(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		route := w.sharded(20, 0.89)
+		w.settle(route)
+		for _, shard := range []string{"s03", "s07", "s11"} {
+			w.set(shard+".a", w.counted(queuedServer(300*time.Millisecond)))
+			w.set(shard+".b", w.counted(queuedServer(300*time.Millisecond)))
+		}
+		inTime, late, failed := w.load(route, 6, 60*time.Second)
+		assert.Assert(t, failed <= 5, "%d in time, %d late, %d failed", inTime, late, failed)
+	})
+}
+
 // The pattern: more shards of another zone are slow than the route allows to be missing,
 // and their relay's servers stop shortly before the answer is due. Guards against a
 // request that fails at that moment, or asks for parts that cannot be in time.
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -31,6 +31,7 @@
 	defer r.settle()
 	r.relayed = true
 	r.paid = call.Extra
+	r.missable = call.Missable
 	r.timing.deadline = call.Deadline
 	r.timing.cutoff = call.Cutoff
 	r.timing.spare = relaySpare
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -35,6 +35,7 @@
 	Top            int
 	MaxAttempts    int // per shard
 	Priority       int
+	Missable       float64       // share of all shards, 0 to 1, that the answer may lack
 	Target         time.Duration // of the route
 	Cutoff         time.Time     // when the answer goes out if enough parts are there
 	Deadline       time.Time     // end of the request
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -47,6 +47,9 @@
 
 	wakeAt time.Time // when the run is to be looked at in any case; zero is never
 
+	missable  float64 // share of shards that an answer may lack
+	lateNoted bool    // the shards that are late have been counted
+
 	have int // legs with a reply
 	lost int
 }
@@ -69,6 +72,7 @@
 	}
 	if route.Sharded() {
 		r.trace.Shards = len(services)
+		r.missable = 1 - float64(route.RequiredShards())/float64(len(services))
 		e.ranks.note(route.Priority, request.Arrived)
 	} else {
 		r.trace.Service = services[0]
@@ -127,7 +131,9 @@
 	for {
 		r.sendGroups()
 		now := time.Now()
+		r.noteLateness(now)
 		if done(now) {
+			r.noteLateness(r.timing.cutoff)
 			return true
 		}
 		timer.Reset(r.nextEvent(now).Sub(now))
@@ -155,6 +161,15 @@
 	}
 }
 
+// noteLateness counts the shards without a reply when the answer is due.
+func (r *run) noteLateness(now time.Time) {
+	if r.lateNoted || r.paid || !r.route.Sharded() || now.Before(r.timing.cutoff) {
+		return
+	}
+	r.lateNoted = true
+	r.engine.lateness.note(r.route.Name, 1-float64(r.have)/float64(len(r.legs)), now)
+}
+
 // settle lets the attempts that are not sent yet end: the answer is decided.
 func (r *run) settle() {
 	for _, l := range r.legs {
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -14,6 +14,9 @@
 	if why != first || !r.route.Sharded() {
 		return false
 	}
+	if choice.Slow && r.mustFinish(choice, now) {
+		return choice.Occupied
+	}
 	if now.Before(r.timing.cutoff) {
 		return choice.Full || r.late(choice, now) || choice.Busy && r.engine.ranks.outranked(r.route.Priority, now)
 	}
@@ -75,7 +78,7 @@
 		return false
 	}
 	l.again = nil
-	r.begin(l, choice.Server, now)
+	r.begin(l, choice, now)
 	l.arrivals-- // the server is counted already
 	r.countExtra(l, retry, choice.Server.ID)
 	return true
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -162,6 +162,7 @@
 		DeadlineMs:   millisecondsOf(call.Deadline.Sub(now)),
 		HedgeAfterMs: millisecondsOf(call.HedgeAfter),
 		Priority:     int32(call.Priority),
+		Missable:     float32(call.Missable),
 		Extra:        call.Extra,
 		Merge:        call.Merge,
 	}
@@ -198,6 +199,7 @@
 		Top:         int(m.GetTop()),
 		MaxAttempts: int(m.GetMaxAttempts()),
 		Priority:    int(m.GetPriority()),
+		Missable:    float64(m.GetMissable()),
 		Target:      duration(m.GetTargetMs()),
 		Cutoff:      now.Add(duration(m.GetCutoffMs())),
 		Deadline:    deadline,
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -81,6 +81,7 @@
 		Target:         150 * time.Millisecond,
 		Cutoff:         time.Now().Add(100 * time.Millisecond),
 		Deadline:       time.Now().Add(time.Second),
+		Missable:       0.25,
 		Merge:          true,
 	}
 }
@@ -105,7 +106,7 @@
 		{call.Request.Header, g.call.Request.Header}, {call.Request.Target, g.call.Request.Target},
 		{call.Request.Body, g.call.Request.Body}, {call.Request.Host, g.call.Request.Host},
 		{call.Services, g.call.Services}, {call.MaxConnections, g.call.MaxConnections},
-		{call.Top, g.call.Top}, {call.MaxAttempts, g.call.MaxAttempts}, {call.Target, g.call.Target}, {call.Merge, g.call.Merge},
+		{call.Top, g.call.Top}, {call.MaxAttempts, g.call.MaxAttempts}, {call.Target, g.call.Target}, {call.Merge, g.call.Merge}, {call.Missable, g.call.Missable},
 	} {
 		assert.DeepEqual(t, same.received, same.sent)
 	}
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -61,6 +61,10 @@
 		a.server.recordSlowness(ratio)
 		a.server.recordFault(false)
 		a.server.succeed()
+		if now.After(a.until) && a.until.After(a.began) {
+			a.replyLate(ratio, now)
+			return
+		}
 		a.server.limit.raise(float64(took)/float64(max(a.until.Sub(a.began), 1)), a.target.Capacity, now)
 	case Refused:
 		a.server.recordFault(true)
@@ -70,12 +74,28 @@
 		a.server.recordFault(true)
 		a.server.fail(now)
 	case Expired:
-		if ratio >= stallFactor {
-			// With less time the attempt tells nothing of the server.
-			a.server.limit.lower(a.began, now, a.target.Capacity)
-		}
+		a.lowerLimit(ratio, now)
 		a.server.recordLate(ratio)
 	case Abandoned:
 		a.server.recordLate(ratio)
 	}
 }
+
+// replyLate takes into account a reply that came after it was due. It shows that the
+// server works at a time of its own, so that a lower limit than for a slow server would
+// only keep it idle.
+func (a *Attempt) replyLate(ratio float64, now time.Time) {
+	if a.server.limit.slow() {
+		a.server.limit.hold(now)
+		return
+	}
+	a.lowerLimit(ratio, now)
+}
+
+// lowerLimit takes into account that the attempt was not in time. One that had less time
+// than its server usually takes tells nothing of the server.
+func (a *Attempt) lowerLimit(ratio float64, now time.Time) {
+	if ratio >= stallFactor {
+		a.server.limit.lower(a.began, now, a.target.Capacity)
+	}
+}
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -30,6 +30,9 @@
 	// Expected is about the time to the reply of a limited server, 0 without a limit.
 	Expected time.Duration
 	Busy     bool // a further attempt would take the room of others that can be in time
+	// Slow is set for a limited server that is late also with one attempt at a time.
+	Slow     bool
+	Occupied bool // it has as many attempts as it runs at once
 	Ejected  bool // it failed several times in a row
 }
 
@@ -84,6 +87,8 @@
 		c.Full = true
 		c.Score += fullPenalty
 	}
+	c.Slow = known.limit.slow()
+	c.Occupied = len(known.running) >= max(candidate.Capacity, 1)
 	c.Busy = c.Full || known.limit.busy(len(known.running))
 	if now.Before(known.ejected) {
 		c.Ejected = true
--- a/pkg/replicas/limit.go
+++ b/pkg/replicas/limit.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// hold records that there is still a reason for the limit.
+func (l *limit) hold(now time.Time) { l.fast, l.held = 0, now }
+
 // age lifts a limit that has had no reason for long.
 func (l *limit) age(now time.Time) {
 	if l.value != 0 && now.Sub(l.held) > limitMemory {
@@ -73,7 +76,7 @@
 		return
 	}
 	if share > fastShare {
-		l.fast, l.held = 0, now
+		l.hold(now)
 	} else if l.fast++; l.fast >= fastReplies {
 		l.value = 0
 		return
@@ -85,6 +88,10 @@
 	l.value = min(l.value+limitStep, float64(max(capacity, 1)))
 }
 
+// slow reports whether attempts were late though few ran at a time: more room would not
+// have helped them.
+func (l *limit) slow() bool { return l.value != 0 && l.value < 1 }
+
 // busy reports whether the server is limited and has attempts, so that one that is
 // late anyway has to wait.
 func (l *limit) busy(running int) bool { return l.value != 0 && running > 0 }
