Let the strongest instance of a zone read the store

Change: readers and deputies are ranked by processor time before the hash. Strong instances have ten times the link.

Zones of equal instances choose as before.

--- a/pkg/peering/members_test.go
+++ b/pkg/peering/members_test.go
@@ -166,6 +166,36 @@
 	assert.Equal(t, readers, 1)
 }
 
+// The pattern: a series of changes in the store, which its reader passes on to all others
+// of the zone. Guards against a reader with a narrow link while there is a stronger
+// instance.
+func TestStrongestInstanceReads(t *testing.T) {
+	ids := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for _, strong := range ids {
+		member := func(id string) Member {
+			m := memberIn(id, "z1")
+			if id == strong {
+				m.Millicores *= 4
+			}
+			return m
+		}
+		for _, self := range ids {
+			m := NewMembers(member(self), time.Now, slog.New(slog.DiscardHandler))
+			for _, id := range ids {
+				if id != self {
+					m.Learn(member(id), 0)
+				}
+			}
+			reader := NewSources(m, nil).Reader()
+			if self == strong {
+				assert.Assert(t, reader == nil)
+				continue
+			}
+			assert.Equal(t, reader.ID(), strong)
+		}
+	}
+}
+
 // Guards against a zone whose instances all call the store when its reader fails, and
 // against following the one that has failed.
 func TestDeputiesAreFewAndNotTheReader(t *testing.T) {
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -27,12 +27,12 @@
 	return &Sources{members: members, client: client}
 }
 
-// Reader implements feed.Sources. The instances of the zone are ranked by a hash,
-// so that all of them choose the same reader.
+// Reader implements feed.Sources. All instances of the zone rank each other in the same
+// way, so that they choose the same reader.
 func (s *Sources) Reader() feed.PeerSource {
 	self := s.members.Self()
 	ranked := append(s.members.Usable(self.Zone), self)
-	chosen := slices.MinFunc(ranked, func(a, b Member) int { return cmp.Compare(readerRank(a), readerRank(b)) })
+	chosen := slices.MinFunc(ranked, compareReaders)
 	if chosen.ID == self.ID {
 		return nil
 	}
@@ -54,7 +54,7 @@
 func (s *Sources) Deputy(failed int) feed.PeerSource {
 	self := s.members.Self()
 	ranked := append(s.members.Usable(self.Zone), self)
-	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(readerRank(a), readerRank(b)) })
+	slices.SortFunc(ranked, compareReaders)
 	place := slices.IndexFunc(ranked, func(m Member) bool { return m.ID == self.ID })
 	if len(ranked) <= smallZone || failed >= min(deputies, place-1) {
 		return nil
@@ -76,7 +76,13 @@
 	return &peerSource{members: s.members, client: s.client, member: m}
 }
 
-func readerRank(m Member) uint64 { return xxhash.Sum64String("reader/" + m.ID) }
+// compareReaders puts the instances with most processor time first, whose links are wider
+// too: a reader sends each change to all others of its zone. Equal ones go by a hash.
+func compareReaders(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Millicores, a.Millicores), cmp.Compare(readerHash(a), readerHash(b)))
+}
+
+func readerHash(m Member) uint64 { return xxhash.Sum64String("reader/" + m.ID) }
 
 // peerSource implements feed.PeerSource.
 type peerSource struct {
