Keep the view of the members, exchange ages instead of names

Each attempt at a backend server asked for the shares of the zone and of the budget, and each shard of this zone for a stronger instance; both copied and sorted all members: 81 us and 53 kB of allocations an attempt at 80 instances.

Change: a view (usable members by zone, sums, relays) is kept until a member changes or time alone changes it, at the exact moment. Exchanges carry a digest of all members and the ages in the order of their ids; members are named only when the digests differ.

At 440 instances a message has to stay below 1,125 B (8 messages a second, 9 kB of control messages); it named 440 members before.

--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -106,6 +106,8 @@
 	return slices.DeleteFunc(slices.Clone(e.seeds()), func(seed string) bool { return known[seed] })
 }
 
+// exchange sends a message and takes over the reply. When the other instance does not
+// know the same members, its reply holds all of them, and it is sent this instance's.
 func (e *Exchanger) exchange(ctx context.Context, target Member, m *peeringpb.ExchangeMessage) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -113,13 +115,35 @@
 	if target.ID != "" {
 		e.members.Report(target.ID, err == nil)
 	}
-	if err == nil {
-		e.Take(reply)
+	if err != nil {
+		if target.ID == "" {
+			// Seeds may be stale; an instance that is known has its failure reported.
+			e.members.logger.Debug("seed does not answer", "address", target.Address, "error", err)
+		}
+		return
+	}
+	e.take(reply)
+	if digest, _ := e.members.Digest(); m.GetBrief() || reply.GetDigest() == digest {
+		return
+	}
+	if _, err := e.client.Exchange(ctx, target.Address, e.everything()); err != nil && target.ID != "" {
+		e.members.Report(target.ID, false)
 	}
 }
 
+// message sums up what this instance knows.
 func (e *Exchanger) message() *peeringpb.ExchangeMessage {
-	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().message(0)}
+	digest, ages := e.members.Digest()
+	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().message(0), Digest: digest, AgesMs: make([]uint32, len(ages))}
+	for i, age := range ages {
+		m.AgesMs[i] = millisecondsOf(age)
+	}
+	return m
+}
+
+// everything holds all members and needs no reply.
+func (e *Exchanger) everything() *peeringpb.ExchangeMessage {
+	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().message(0), Brief: true}
 	members, ages := e.members.Listed()
 	for i, member := range members {
 		m.Members = append(m.Members, member.message(ages[i]))
@@ -129,17 +153,32 @@
 
 // Answer takes over the news of a message and returns this instance's.
 func (e *Exchanger) Answer(m *peeringpb.ExchangeMessage) *peeringpb.ExchangeMessage {
-	e.Take(m)
-	if m.GetBrief() {
+	same := e.take(m)
+	switch {
+	case m.GetBrief():
 		return &peeringpb.ExchangeMessage{Sender: e.members.Self().message(0)}
+	case same:
+		return e.message()
+	default:
+		reply := e.everything()
+		reply.Digest, _ = e.members.Digest()
+		return reply
 	}
-	return e.message()
 }
 
-// Take takes over the news of a message.
-func (e *Exchanger) Take(m *peeringpb.ExchangeMessage) {
+// take takes over the news of a message and reports whether its sender knows the same
+// members as this instance.
+func (e *Exchanger) take(m *peeringpb.ExchangeMessage) bool {
 	e.members.Heard(memberOf(m.GetSender()))
 	for _, member := range m.GetMembers() {
-		e.members.Learn(memberOf(member), time.Duration(member.GetAgeMs())*time.Millisecond)
+		e.members.Learn(memberOf(member), duration(member.GetAgeMs()))
+	}
+	if len(m.GetAgesMs()) == 0 {
+		return false
+	}
+	ages := make([]time.Duration, len(m.GetAgesMs()))
+	for i, age := range m.GetAgesMs() {
+		ages[i] = duration(age)
 	}
+	return e.members.LearnAges(m.GetDigest(), ages)
 }
--- a/pkg/peering/members.go
+++ b/pkg/peering/members.go
@@ -1,7 +1,6 @@
 package peering
 
 import (
-	"cmp"
 	"log/slog"
 	"slices"
 	"sync"
@@ -40,6 +39,7 @@
 
 	mu      sync.Mutex
 	known   map[string]*known
+	current *view // nil when a member has changed since
 	leaving bool
 	peak    int // greatest count within countMemory
 	peakAt  time.Time
@@ -71,6 +71,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.leaving = true
+	m.current = nil
 }
 
 // Learn takes over that some instance heard of a member the given time ago.
@@ -84,15 +85,20 @@
 	k := m.known[member.ID]
 	if k == nil {
 		m.known[member.ID] = &known{Member: member, heard: heard}
+		m.current = nil
 		m.logger.Info("instance found", "peer", member.ID, "peer_zone", member.Zone, "age_ms", age.Milliseconds())
 		return
 	}
 	switch {
 	case member.Incarnation > k.Incarnation:
 		*k = known{Member: member, heard: heard}
+		m.current = nil
 		m.logger.Info("instance has restarted", "peer", member.ID, "peer_zone", member.Zone)
 	case member.Incarnation == k.Incarnation:
-		k.Leaving = k.Leaving || member.Leaving
+		if member.Leaving && !k.Leaving {
+			k.Leaving = true
+			m.current = nil
+		}
 		if heard.After(k.heard) {
 			k.heard = heard
 		}
@@ -117,6 +123,9 @@
 		if k.failures > 0 {
 			m.logger.Info("instance answers again", "peer", id, "failures", k.failures)
 		}
+		if !k.suspect.IsZero() {
+			m.current = nil
+		}
 		k.failures, k.suspect = 0, time.Time{}
 		if now.After(k.heard) {
 			k.heard = now
@@ -130,6 +139,7 @@
 	if k.failures < failuresToSuspect {
 		return
 	}
+	m.current = nil
 	k.suspect = now.Add(min(firstSuspicion<<min(k.failures-failuresToSuspect, 6), longestSuspicion))
 }
 
@@ -138,15 +148,7 @@
 func (m *Members) Usable(zone string) []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.now()
-	var out []Member
-	for _, k := range m.known {
-		if !k.Leaving && now.After(k.suspect) && now.Sub(k.heard) < forgetAfter && (zone == "" || k.Zone == zone) {
-			out = append(out, k.Member)
-		}
-	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return slices.Clone(m.viewLocked(m.now()).usable[zone])
 }
 
 // Listed returns all members with the time since any instance heard of them.
@@ -156,15 +158,11 @@
 	now := m.now()
 	var members []Member
 	var ages []time.Duration
-	for id, k := range m.known {
-		age := now.Sub(k.heard)
-		if age >= forgetAfter {
-			m.logger.Info("instance gone", "peer", id, "peer_zone", k.Zone, "last_heard_ms", age.Milliseconds())
-			delete(m.known, id)
-			continue
+	for _, id := range m.viewLocked(now).roster {
+		if k := m.known[id]; k != nil {
+			members = append(members, k.Member)
+			ages = append(ages, now.Sub(k.heard))
 		}
-		members = append(members, k.Member)
-		ages = append(ages, age)
 	}
 	return members, ages
 }
@@ -175,14 +173,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	count := 1
-	for _, k := range m.known {
-		if now.Sub(k.heard) < forgetAfter {
-			count++
-		}
-	}
-	if count >= m.peak || now.Sub(m.peakAt) > countMemory {
-		m.peak, m.peakAt = count, now
+	return m.countLocked(m.viewLocked(now), now)
+}
+
+func (m *Members) countLocked(v *view, now time.Time) int {
+	if v.count >= m.peak || now.Sub(m.peakAt) > countMemory {
+		m.peak, m.peakAt = v.count, now
 	}
 	if now.Sub(m.started) < settleTime {
 		return max(m.peak, assumedMembers)
@@ -193,26 +189,23 @@
 // Share is the part of a common budget that this instance may spend: that of its
 // processor time among as many instances as Count.
 func (m *Members) Share() float64 {
-	count := m.Count()
-	total, known := 0, 1
-	for _, member := range m.Usable("") {
-		total += member.Millicores
-		known++
-	}
-	own := m.self.Millicores
-	if total+own <= 0 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	v := m.viewLocked(now)
+	count := m.countLocked(v, now)
+	if v.millicores <= 0 {
 		return 1 / float64(count)
 	}
-	mean := float64(total+own) / float64(known)
-	return min(float64(own)/mean/float64(count), 1)
+	mean := float64(v.millicores) / float64(len(v.usable[""])+1)
+	return min(float64(m.self.Millicores)/mean/float64(count), 1)
 }
 
 // ZoneShare implements forward.Sharing.
 func (m *Members) ZoneShare() float64 {
-	total := m.self.Millicores
-	for _, member := range m.Usable(m.self.Zone) {
-		total += member.Millicores
-	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := m.viewLocked(m.now()).zoneMillicores
 	if total <= 0 {
 		return 1
 	}
@@ -221,10 +214,14 @@
 
 // Remote implements forward.Sharing. It assumes zones of equal size.
 func (m *Members) Remote() int {
-	zones := map[string]bool{m.self.Zone: true}
-	for _, member := range m.Usable("") {
-		zones[member.Zone] = true
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	v := m.viewLocked(now)
+	zones := len(v.usable) - 1 // without the entry for all zones
+	if _, ok := v.usable[m.self.Zone]; !ok {
+		zones++
 	}
-	count := m.Count()
-	return max(count-count/len(zones), 1)
+	count := m.countLocked(v, now)
+	return max(count-count/max(zones, 1), 1)
 }
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -24,6 +24,7 @@
 
 	mu      sync.Mutex
 	running map[string]int // calls in progress by member id
+	ranking *ranking       // of the last view
 }
 
 // NewRelays returns relays over the members.
@@ -41,20 +42,40 @@
 // detour pays.
 const strongerBy = 1.5
 
-// Stronger implements forward.Relays.
-func (r *Relays) Stronger() forward.Relay {
-	self := r.members.Self()
-	usable := r.members.Usable(self.Zone)
-	usable = slices.DeleteFunc(usable, func(m Member) bool {
+// ranking holds the relays of this instance for one view of the members.
+type ranking struct {
+	of       *view
+	stronger []Member            // of this zone, with much more processor time
+	zones    map[string][]Member // that rank first, by availability zone
+}
+
+// ranked returns the ranking for the members that are usable now. Requests ask for it
+// for each shard, so that it is kept while the view holds.
+func (r *Relays) ranked() *ranking {
+	v, self := r.members.view()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ranking != nil && r.ranking.of == v {
+		return r.ranking
+	}
+	next := &ranking{of: v, zones: make(map[string][]Member)}
+	for zone, usable := range v.usable {
+		if zone != "" {
+			next.zones[zone] = first(self.ID, usable)
+		}
+	}
+	next.stronger = first(self.ID, slices.DeleteFunc(slices.Clone(v.usable[self.Zone]), func(m Member) bool {
 		return float64(m.Millicores) < strongerBy*float64(self.Millicores)
-	})
-	return r.lessBusy(r.first(usable))
+	}))
+	r.ranking = next
+	return next
 }
 
+// Stronger implements forward.Relays.
+func (r *Relays) Stronger() forward.Relay { return r.lessBusy(r.ranked().stronger) }
+
 // Pick returns the less busy of this instance's relays in the zone.
-func (r *Relays) Pick(zone string) forward.Relay {
-	return r.lessBusy(r.preferred(zone))
-}
+func (r *Relays) Pick(zone string) forward.Relay { return r.lessBusy(r.preferred(zone)) }
 
 func (r *Relays) lessBusy(candidates []Member) forward.Relay {
 	if len(candidates) == 0 {
@@ -73,26 +94,22 @@
 
 // preferred returns the usable members of the zone that rank first for this
 // instance, so that the instances spread over them.
-func (r *Relays) preferred(zone string) []Member {
-	return r.first(r.members.Usable(zone))
-}
+func (r *Relays) preferred(zone string) []Member { return r.ranked().zones[zone] }
 
-// first sorts members by their rank for this instance and returns the first ones.
-func (r *Relays) first(usable []Member) []Member {
-	self := r.members.Self().ID
-	slices.SortFunc(usable, func(a, b Member) int { return cmp.Compare(relayRank(self, b), relayRank(self, a)) })
-	return usable[:min(relaysPerZone, len(usable))]
+// first returns the members that rank first for the instance with the id.
+func first(self string, members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(relayRank(self, b), relayRank(self, a)) })
+	return sorted[:min(relaysPerZone, len(sorted))]
 }
 
 // all returns the relays of all other zones.
 func (r *Relays) all() []Member {
 	self := r.members.Self().Zone
-	zones := make(map[string]bool)
 	var out []Member
-	for _, m := range r.members.Usable("") {
-		if m.Zone != self && !zones[m.Zone] {
-			zones[m.Zone] = true
-			out = append(out, r.preferred(m.Zone)...)
+	for zone, relays := range r.ranked().zones {
+		if zone != self {
+			out = append(out, relays...)
 		}
 	}
 	return out
