End listeners with the supervisor

Found by the log, no rule or answer depends on it. A listener now closes when its context ends; drained requests have ended before.

--- a/pkg/relay/listener.go
+++ b/pkg/relay/listener.go
@@ -20,6 +20,10 @@
 
 // Serve implements suture.Service.
 func (l *listener) Serve(ctx context.Context) error {
+	// Requests have ended by now, or their time is over. The error is that of the
+	// sockets, which the end of the process closes too.
+	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	defer stop()
 	err := l.server.Serve(l.socket)
 	if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil {
 		return suture.ErrDoNotRestart
