Log when too many shards of a route are late

Cause: whether parts are finished late depends on the share of shards that were late, and nothing in the log told of it.

--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -23,6 +23,7 @@
 	zone      string
 	relays    Relays
 	sharing   Sharing
+	observe   func(LatenessChange)
 	running   atomic.Int32 // sharded requests in progress
 }
 
@@ -44,6 +45,7 @@
 	Zone      string // this instance's availability zone
 	Relays    Relays
 	Sharing   Sharing
+	Observe   func(LatenessChange) // must not block
 }
 
 // New returns an engine.
@@ -59,6 +61,7 @@
 		zone:      config.Zone,
 		relays:    config.Relays,
 		sharing:   config.Sharing,
+		observe:   config.Observe,
 	}
 }
 
--- a/pkg/forward/lateness.go
+++ b/pkg/forward/lateness.go
@@ -23,12 +23,23 @@
 type lateShare struct {
 	value   float64 // 0 to 1
 	updated time.Time
+	exceeds bool // what the answers may lack
+}
+
+// LatenessChange is a change of whether more shards of a route are late than its answers
+// may lack.
+type LatenessChange struct {
+	Route    string
+	Exceeds  bool
+	Share    float64 // of shards that were late, 0 to 1
+	Missable float64 // share that an answer may lack, 0 to 1
 }
 
 func newLateness() *lateness { return &lateness{routes: make(map[string]*lateShare)} }
 
-// note records the share of a request's shards without a reply when its answer was due.
-func (l *lateness) note(route string, share float64, now time.Time) {
+// note records the share of a request's shards without a reply when its answer was due, and
+// returns what that has changed, or nil.
+func (l *lateness) note(route string, share, missable float64, now time.Time) *LatenessChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.routes[route]
@@ -41,6 +52,11 @@
 	}
 	known.value += latenessWeight * (share - known.value)
 	known.updated = now
+	if exceeds := known.value > missable; exceeds != known.exceeds {
+		known.exceeds = exceeds
+		return &LatenessChange{Route: route, Exceeds: exceeds, Share: known.value, Missable: missable}
+	}
+	return nil
 }
 
 // share returns the late share of a route, 0 when it has had no requests of late.
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -168,7 +168,10 @@
 		return
 	}
 	r.lateNoted = true
-	r.engine.lateness.note(r.route.Name, 1-float64(r.have)/float64(len(r.legs)), now)
+	late := 1 - float64(r.have)/float64(len(r.legs))
+	if change := r.engine.lateness.note(r.route.Name, late, r.missable, now); change != nil {
+		r.engine.observe(*change)
+	}
 }
 
 // settle lets the attempts that are not sent yet end: the answer is decided. It is called
--- a/pkg/forward/world_test.go
+++ b/pkg/forward/world_test.go
@@ -36,6 +36,7 @@
 	mu       sync.Mutex
 	servers  map[string]behaviour // by id; answering after work when not stated
 	arrivals []string             // "service server" in order
+	lateness []LatenessChange
 }
 
 var testLimits = extras.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second}
@@ -52,10 +53,17 @@
 		Zone:      here,
 		Relays:    w,
 		Sharing:   w,
+		Observe:   w.observe,
 	})
 	return w
 }
 
+func (w *world) observe(c LatenessChange) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateness = append(w.lateness, c)
+}
+
 func ignoreChange(replicas.Change) {}
 
 func (w *world) ZoneShare() float64 { return 1 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -124,6 +124,7 @@
 		Zone:      s.Instance.Zone,
 		Relays:    relays,
 		Sharing:   r.members,
+		Observe:   r.logLateness,
 	})
 	r.warmer = &warmer{zone: s.Instance.Zone, directory: r.directory, follower: r.follower, engine: engine, sender: r.sender}
 	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.seeds)
@@ -151,6 +152,15 @@
 		"failures", c.Failures, "ejections", c.Ejections, "took_ms", c.Took.Milliseconds(), "limit", c.Limit)
 }
 
+// logLateness records whether answers of a route go out late because of its shards.
+func (r *Relay) logLateness(c forward.LatenessChange) {
+	message := "shards of route in time again"
+	if c.Exceeds {
+		message = "too many shards of route late"
+	}
+	r.logger.Info(message, "route", c.Route, "late_share", c.Share, "missable_share", c.Missable)
+}
+
 func (r *Relay) idleTimeout() time.Duration {
 	if table := r.follower.Table(); table != nil {
 		return table.Limits().IdleTimeout
