--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -111,24 +111,30 @@
 func (e *Exchanger) exchange(ctx context.Context, target Member, m *peeringpb.ExchangeMessage) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := e.client.Exchange(ctx, target.Address, m)
-	if target.ID != "" {
-		e.members.Report(target.ID, err == nil)
-	}
-	if err != nil {
-		if target.ID == "" {
-			// Seeds may be stale; an instance that is known has its failure reported.
-			e.members.logger.Debug("seed does not answer", "address", target.Address, "error", err)
-		}
+	reply := e.call(ctx, target, m)
+	if reply == nil {
 		return
 	}
 	e.take(reply)
-	if digest, _ := e.members.Digest(); m.GetBrief() || reply.GetDigest() == digest {
-		return
+	if digest, _ := e.members.Digest(); !m.GetBrief() && reply.GetDigest() != digest {
+		e.call(ctx, target, e.everything())
 	}
-	if _, err := e.client.Exchange(ctx, target.Address, e.everything()); err != nil && target.ID != "" {
-		e.members.Report(target.ID, false)
+}
+
+// call returns the reply, or nil when there is none.
+func (e *Exchanger) call(ctx context.Context, target Member, m *peeringpb.ExchangeMessage) *peeringpb.ExchangeMessage {
+	reply, err := e.client.Exchange(ctx, target.Address, m)
+	switch {
+	case target.ID != "":
+		e.members.Report(target.ID, err == nil)
+	case err != nil:
+		// Seeds may be stale, so that this is no news.
+		e.members.logger.Debug("seed does not answer", "address", target.Address, "error", err)
+	}
+	if err != nil {
+		return nil
 	}
+	return reply
 }
 
 // message sums up what this instance knows.
