Let a restarted instance outrank an earlier run with a later clock

Cause: a run of an instance is known by the time of day of its start. When the clock goes back between a stop and the next start (clock_step), the other instances keep to the earlier run, which is leaving, and give the new one no work for the 12 s until they have forgotten it.

Change: an instance that hears of a run of its own with a later number takes the number after it. The test fails without the change. The peer of the relay tests records changes of lateness.

--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -35,6 +35,7 @@
 		Zone:      there,
 		Relays:    noRelays{},
 		Sharing:   w,
+		Observe:   w.observe,
 	})
 	p := &peer{engine: engine}
 	w.relays[there] = p
--- a/pkg/peering/members.go
+++ b/pkg/peering/members.go
@@ -76,11 +76,15 @@
 
 // Learn takes over that some instance heard of a member the given time ago.
 func (m *Members) Learn(member Member, age time.Duration) {
-	if member.ID == "" || member.ID == m.self.ID || age >= forgetAfter {
+	if member.ID == "" || age >= forgetAfter {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if member.ID == m.self.ID {
+		m.outrankLocked(member)
+		return
+	}
 	heard := m.now().Add(-age)
 	k := m.known[member.ID]
 	if k == nil {
@@ -105,6 +109,19 @@
 	}
 }
 
+// outrankLocked lets this run follow one of the same instance that began at a later time of
+// day: the clock has gone back since, and the others would keep to the earlier run until
+// they have forgotten it.
+func (m *Members) outrankLocked(earlier Member) {
+	if earlier.Incarnation <= m.self.Incarnation {
+		return
+	}
+	m.logger.Warn("an earlier run of this instance has a later start, taking the number after it",
+		"incarnation", m.self.Incarnation, "earlier", earlier.Incarnation)
+	m.self.Incarnation = earlier.Incarnation + 1
+	m.current = nil
+}
+
 // Heard takes over a message of a member itself.
 func (m *Members) Heard(member Member) {
 	m.Learn(member, 0)
--- a/pkg/peering/view_test.go
+++ b/pkg/peering/view_test.go
@@ -114,6 +114,24 @@
 	}
 }
 
+// The pattern: an instance is stopped, its clock goes back, and it starts again. Guards
+// against other instances that keep to the earlier run, which is leaving, and give the new
+// one no work until they have forgotten it.
+func TestRestartWithAnEarlierClockIsNoticed(t *testing.T) {
+	ids := []string{"a", "b", "c"}
+	one, other := exchangerOf("a", ids), exchangerOf("b", ids)
+	stopped := memberIn("a", "z1")
+	stopped.Incarnation, stopped.Leaving = 5000, true
+	other.members.Learn(stopped, 0)
+	one.members.self.Incarnation = 2000
+	for range 2 {
+		one.take(other.Answer(one.message()))
+		other.Answer(one.everything())
+	}
+	assert.DeepEqual(t, usable(other.members, ""), []string{"a", "c"})
+	assert.Assert(t, other.take(one.message()))
+}
+
 // BenchmarkSharing is what one attempt at a backend server asks of the members.
 func BenchmarkSharing(b *testing.B) {
 	m, _ := newMembers()
