--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -42,6 +42,8 @@
 	}},
 	{"reset", func(s *system, random *rand.Rand, _ time.Duration) { pick(random, s.proxies).reset() }},
 	{"delay", proxyFault(delay)},
+	{"jitter", proxyFault(jitter)},
+	{"loss", proxyFault(lossy)},
 	{"one-way", proxyFault(oneWay)},
 	{"silent", proxyFault(silent)},
 	{"server-slow", serverFault(platformtest.Fault{Delay: 200 * time.Millisecond})},
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -13,12 +14,21 @@
 const (
 	pass   proxyMode = iota
 	delay            // each piece waits
+	jitter           // each piece waits for a time of its own
+	lossy            // some pieces wait as long as their repetition takes
 	oneWay           // the answers are held back
 	silent           // nothing is passed on, also on new connections
 )
 
-// pieceDelay is the wait of delayed pieces, longer than a hedge.
-const pieceDelay = 80 * time.Millisecond
+const (
+	// pieceDelay is the wait of delayed pieces, longer than a hedge, and the longest one
+	// of pieces whose delay changes.
+	pieceDelay = 80 * time.Millisecond
+	// lostShare of the pieces is lost once. TCP repeats them after repeatDelay, the least
+	// time on Linux; a proxy above TCP cannot lose a piece in another way.
+	lostShare   = 0.2
+	repeatDelay = 200 * time.Millisecond
+)
 
 // proxy forwards TCP connections on loopback to one address.
 type proxy struct {
@@ -138,6 +148,10 @@
 	switch {
 	case mode == delay:
 		time.Sleep(pieceDelay)
+	case mode == jitter:
+		time.Sleep(time.Duration(rand.Int64N(int64(pieceDelay))))
+	case mode == lossy && rand.Float64() < lostShare:
+		time.Sleep(repeatDelay)
 	case mode == silent, mode == oneWay && answers:
 		<-heal
 	}
