--- a/pkg/replicas/limit_test.go
+++ b/pkg/replicas/limit_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
 )
 
 const slots = 2
@@ -99,3 +101,29 @@
 	}
 	assert.Equal(t, l.value, 0.0)
 }
+
+// The pattern: a server that is slow also with one attempt at a time, and finishes it after
+// the reply was due. Guards against a limit that goes on falling, so that the server is idle
+// while parts wait for it, and against one that is forgotten while replies are late.
+func TestSlowServerIsNotLimitedFurtherByLateReplies(t *testing.T) {
+	b := newBench()
+	late := func() lateState {
+		a := b.Begin(b.local, route, b.now, b.now.Add(3*normal)) // longer than stallFactor
+		b.now = b.now.Add(2 * longestPause)
+		a.End(Answered, b.now)
+		choice, _ := b.Choose([]*directory.Server{b.local}, route, none, b.now)
+		return lateState{choice.Slow, b.servers[b.local.Key()].limit.value}
+	}
+	assert.Equal(t, late(), lateState{false, 0})
+	assert.Equal(t, late(), lateState{false, slots})
+	for range 10 {
+		late()
+	}
+	assert.Equal(t, late(), lateState{true, limitCut})
+}
+
+// lateState is what a late reply leaves of a server.
+type lateState struct {
+	slow  bool
+	limit float64
+}
