Count requests where they run, name the due time of an attempt

Cause: read over as a newcomer. The count of requests in progress went up where a run is built and down where its answer is decided, so that settle had to be called exactly once; a run now counts itself while it runs. An attempt's 'until' was described as the time after which a reply is of no use, which is no longer so since parts may be finished late; it is 'due' now. The view of the members holds an entry for this zone also when it is empty, which saves the special case in Remote. Three load tests set up the same slow shards; one function does.

Tests of forward, peering, replicas and relay pass with the race detector; no bound, check or assertion is changed.

--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// slowShards slows down all servers of three shards.
+func (w *world) slowShards(work time.Duration) {
+	for _, shard := range []string{"s03", "s07", "s11"} {
+		w.set(shard+".a", w.counted(queuedServer(work)))
+		w.set(shard+".b", w.counted(queuedServer(work)))
+	}
+}
+
 // load sends requests at even intervals and returns how many were answered by the
 // target, late and not at all.
 func (w *world) load(route *routing.Route, perSecond int, length time.Duration) (inTime, late, failed int) {
@@ -71,10 +79,7 @@
 	simulate(t, func(t *testing.T, w *world) {
 		route := w.sharded(20, 0.89)
 		w.settle(route)
-		for _, shard := range []string{"s03", "s07", "s11"} {
-			w.set(shard+".a", w.counted(queuedServer(100*time.Millisecond)))
-			w.set(shard+".b", w.counted(queuedServer(100*time.Millisecond)))
-		}
+		w.slowShards(100 * time.Millisecond)
 		inTime, late, failed := w.load(route, 60, 10*time.Second)
 		assert.Assert(t, inTime >= 200, "%d in time, %d late, %d failed", inTime, late, failed)
 	})
@@ -87,10 +92,7 @@
 	simulate(t, func(t *testing.T, w *world) {
 		route := w.sharded(20, 0.89)
 		w.settle(route)
-		for _, shard := range []string{"s03", "s07", "s11"} {
-			w.set(shard+".a", w.counted(queuedServer(400*time.Millisecond)))
-			w.set(shard+".b", w.counted(queuedServer(400*time.Millisecond)))
-		}
+		w.slowShards(400 * time.Millisecond)
 		answer, took := w.ask(background, route)
 		assert.Assert(t, answer.Merged != nil, "%+v", answer.Refusal)
 		assert.Assert(t, len(answer.Merged.Proofs) >= route.RequiredShards())
@@ -106,10 +108,7 @@
 	simulate(t, func(t *testing.T, w *world) {
 		route := w.sharded(20, 0.89)
 		w.settle(route)
-		for _, shard := range []string{"s03", "s07", "s11"} {
-			w.set(shard+".a", w.counted(queuedServer(300*time.Millisecond)))
-			w.set(shard+".b", w.counted(queuedServer(300*time.Millisecond)))
-		}
+		w.slowShards(300 * time.Millisecond)
 		inTime, late, failed := w.load(route, 6, 60*time.Second)
 		assert.Assert(t, failed <= 5, "%d in time, %d late, %d failed", inTime, late, failed)
 	})
--- a/pkg/forward/run.go
+++ b/pkg/forward/run.go
@@ -73,7 +73,6 @@
 	if route.Sharded() {
 		r.trace.Shards = len(services)
 		r.missable = 1 - float64(route.RequiredShards())/float64(len(services))
-		e.running.Add(1)
 		e.ranks.note(route.Priority, request.Arrived)
 	} else {
 		r.trace.Service = services[0]
@@ -122,6 +121,10 @@
 		r.cancel()
 		return false
 	}
+	if r.route.Sharded() {
+		r.engine.running.Add(1)
+		defer r.engine.running.Add(-1)
+	}
 	for _, l := range r.legs {
 		if !r.launch(l, first) {
 			r.lose(l)
@@ -174,12 +177,8 @@
 	}
 }
 
-// settle lets the attempts that are not sent yet end: the answer is decided. It is called
-// once.
+// settle lets the attempts that are not sent yet end: the answer is decided.
 func (r *run) settle() {
-	if r.route.Sharded() {
-		r.engine.running.Add(-1)
-	}
 	for _, l := range r.legs {
 		l.settled.Store(true)
 	}
--- a/pkg/peering/members.go
+++ b/pkg/peering/members.go
@@ -236,9 +236,6 @@
 	now := m.now()
 	v := m.viewLocked(now)
 	zones := len(v.usable) - 1 // without the entry for all zones
-	if _, ok := v.usable[m.self.Zone]; !ok {
-		zones++
-	}
 	count := m.countLocked(v, now)
 	return max(count-count/max(zones, 1), 1)
 }
--- a/pkg/peering/view.go
+++ b/pkg/peering/view.go
@@ -13,7 +13,7 @@
 // that it is computed only when a member changes or time alone changes it.
 type view struct {
 	until  time.Time           // from then on it does not hold
-	usable map[string][]Member // that can be given work, by availability zone; "" is all
+	usable map[string][]Member // that can be given work, by zone, this one included; "" is all
 	roster []string            // ids of all members, this instance included, in order
 	digest uint64              // of the roster; never 0
 	count  int                 // instances, this one included
@@ -40,7 +40,7 @@
 func (m *Members) computeLocked(now time.Time) *view {
 	v := &view{
 		until:          now.Add(forgetAfter),
-		usable:         make(map[string][]Member),
+		usable:         map[string][]Member{"": nil, m.self.Zone: nil},
 		roster:         []string{m.self.ID},
 		count:          1,
 		millicores:     m.self.Millicores,
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -13,7 +13,7 @@
 	server  *server
 	route   string
 	began   time.Time
-	until   time.Time // a later reply is of no use
+	due     time.Time // a later reply is late
 	ended   bool
 }
 
@@ -61,11 +61,11 @@
 		a.server.recordSlowness(ratio)
 		a.server.recordFault(false)
 		a.server.succeed()
-		if now.After(a.until) && a.until.After(a.began) {
+		if now.After(a.due) && a.due.After(a.began) {
 			a.replyLate(ratio, now)
 			return
 		}
-		a.server.limit.raise(float64(took)/float64(max(a.until.Sub(a.began), 1)), a.target.Capacity, now)
+		a.server.limit.raise(float64(took)/float64(max(a.due.Sub(a.began), 1)), a.target.Capacity, now)
 	case Refused:
 		a.server.recordFault(true)
 	case Misplaced:
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -36,13 +36,13 @@
 	return &Tracker{zone: zone, observe: observe, servers: make(map[string]*server), usual: make(map[string]*usual)}
 }
 
-// Begin records that a request of the route is sent to a server. A reply after until
-// is of no use.
-func (t *Tracker) Begin(s *directory.Server, route string, now, until time.Time) *Attempt {
+// Begin records that a request of the route is sent to a server. A reply after due is
+// late; an attempt whose due time is its start is not judged by its time.
+func (t *Tracker) Begin(s *directory.Server, route string, now, due time.Time) *Attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.serverLocked(s.Key(), now)
-	a := &Attempt{tracker: t, server: known, target: s, route: route, began: now, until: until}
+	a := &Attempt{tracker: t, server: known, target: s, route: route, began: now, due: due}
 	known.running = append(known.running, a)
 	return a
 }
