--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
-	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
@@ -27,17 +26,7 @@
 
 // addRelay adds an instance in the remote zone.
 func (tb *testbed) addRelay() *testRelay {
-	engine := New(Config{
-		Directory:        tb.directory,
-		Tracker:          replicas.New(remoteZone, ignoreChange),
-		Budget:           tb.budget,
-		Client:           tb,
-		Zone:             remoteZone,
-		Relays:           noRelays{},
-		Sharing:          tb,
-		OnLatenessChange: tb.observe,
-	})
-	relay := &testRelay{engine: engine}
+	relay := &testRelay{engine: tb.newEngine(remoteZone, noRelays{})}
 	tb.relays[remoteZone] = relay
 	return relay
 }
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -45,17 +45,22 @@
 	tb := &testbed{servers: map[string]behaviour{}, relays: map[string]Relay{}}
 	tb.directory = directory.New(3*time.Second, time.Now)
 	tb.budget = retrybudget.New(testLimits, func() float64 { return 1 })
-	tb.engine = New(Config{
+	tb.engine = tb.newEngine(localZone, tb)
+	return tb
+}
+
+// newEngine returns an instance in the zone, with the servers of the testbed.
+func (tb *testbed) newEngine(zone string, relays Relays) *Engine {
+	return New(Config{
 		Directory:        tb.directory,
-		Tracker:          replicas.New(localZone, ignoreChange),
+		Tracker:          replicas.New(zone, ignoreChange),
 		Budget:           tb.budget,
 		Client:           tb,
-		Zone:             localZone,
-		Relays:           tb,
+		Zone:             zone,
+		Relays:           relays,
 		Sharing:          tb,
 		OnLatenessChange: tb.observe,
 	})
-	return tb
 }
 
 func (tb *testbed) observe(c LatenessChange) {
@@ -155,9 +160,11 @@
 	if err := waitFor(ctx, work); err != nil {
 		return nil, err
 	}
-	return nil, &CallError{Sent: true, Detail: "connection lost"}
+	return nil, connectionLost()
 }
 
+func connectionLost() *CallError { return &CallError{Sent: true, Detail: "connection lost"} }
+
 // fails replies with an error of the server itself.
 func fails(ctx context.Context, _ Call) (*Reply, error) {
 	if err := waitFor(ctx, work); err != nil {
@@ -192,6 +199,15 @@
 	return &routing.Route{Name: "single", Repeatable: repeatable, TargetLatency: 500 * time.Millisecond, Timeout: 5 * time.Second, MaxAttempts: 2, WeightedServices: []routing.WeightedService{{Service: "one", Weight: 1}}}
 }
 
+// wideRoute returns a route to one new service with the given number of servers.
+func (tb *testbed) wideRoute(servers int) *routing.Route {
+	route := tb.singleRoute(true)
+	for n := range servers - 2 {
+		tb.addServer("one", fmt.Sprintf("one.%d", n), localZone)
+	}
+	return route
+}
+
 // ask forwards one request and returns its answer and the time that it took.
 func (tb *testbed) ask(ctx context.Context, route *routing.Route) (*Answer, time.Duration) {
 	began := time.Now()
