Quarantine requests that crash backend servers, at all instances

Cause: the platform's path knew requests by id only. The class of fault is state that has to outlive an attempt and to be shared by all instances, but was kept nowhere.

pkg/suspects counts the servers that were lost under a request, by its content, one after the other: attempts side by side count once, a reply clears the request, and a server that soon answers another request has not crashed. Three in a row quarantine it. Suspected sharded requests ask one server at a time. Instances tell each other at once when a caller's request ends under suspicion; quarantines travel with each exchange, so that an instance that restarts learns them.

Ruled out: the crash guard of the product, which would quarantine requests in flight beside a crashing one, since here each path is new.

--- a/pkg/backend/forward.go
+++ b/pkg/backend/forward.go
@@ -55,6 +55,11 @@
 	Cause   error
 }
 
+// ConnectionLost reports whether the server ended the connection before it replied.
+func (e *ForwardError) ConnectionLost() bool {
+	return e.Sent && e.Status == peerpb.ResultStatus_CRASHED
+}
+
 // Error returns the detail and the cause.
 func (e *ForwardError) Error() string {
 	if e.Cause == nil {
--- a/pkg/crashguard/fingerprint.go
+++ b/pkg/crashguard/fingerprint.go
@@ -11,11 +11,11 @@
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 )
 
-// Fingerprint identifies a request by its content. It does not depend on the
-// caller or on the instance that handles the request.
-func Fingerprint(team, service, query string) uint64 {
+// Fingerprint identifies a request by the parts of its content. It does not depend
+// on the caller or on the instance that handles the request.
+func Fingerprint(parts ...string) uint64 {
 	digest := xxhash.New()
-	for _, part := range [...]string{team, service, query} {
+	for _, part := range parts {
 		var length [8]byte
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = digest.Write(length[:])
--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -33,6 +33,7 @@
 	servesPeer        bool // this instance is the relay; it does not relay first attempts again
 	chargedBySender   bool // every attempt is an extra one, which the sending instance has charged to its budget
 	request           *Request
+	crashes           *crashSuspicion
 	timing            timing
 	shardRequests     []*shardRequest
 	trace             Trace
@@ -64,6 +65,7 @@
 		route:          route,
 		maxConnections: maxConnections,
 		request:        request,
+		crashes:        newCrashSuspicion(e, request),
 		timing:         newTiming(route, request, e.latencyEstimate(route)),
 		shardRequests:  make([]*shardRequest, len(services)),
 	}
@@ -100,6 +102,7 @@
 // waitForAnswer forwards the request and returns its answer.
 func (r *activeRequest) waitForAnswer(ctx context.Context) *Answer {
 	defer r.markNoLongerNeeded()
+	defer r.crashes.requestEnded()
 	if refused := r.refuseIfUnanswerable(time.Now()); refused != nil {
 		refused.Trace = r.finishTrace()
 		return refused
@@ -224,10 +227,10 @@
 		}
 	}
 	for _, s := range r.shardRequests {
-		if s.waitingForCapacity && now.Add(capacityPollInterval).Before(next) {
+		if s.waiting && now.Add(capacityPollInterval).Before(next) {
 			next = now.Add(capacityPollInterval)
 		}
-		if s.isComplete() || s.hedgeTried || s.waitingForCapacity {
+		if s.isComplete() || s.hedgeTried || s.waiting {
 			continue
 		}
 		if due := s.lastStarted.Add(r.timing.hedgeDelay); due.Before(next) {
--- a/pkg/forward/crashing_test.go
+++ b/pkg/forward/crashing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,12 +11,15 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
 const (
 	crashingTarget = "/x/crash"
 	// serverDowntime is how long a crashed server refuses connections.
 	serverDowntime = 2 * time.Second
+	// timeToNotice is how long after a crash the connection is known to be lost.
+	timeToNotice = time.Millisecond
 	// learnTime is how long after the third crash the instances may still send the request.
 	learnTime = 4 * time.Second
 	// allowedRepeats is the number of repeats that may reach servers after learnTime.
@@ -55,6 +59,7 @@
 		return reply, err
 	}
 	scene.recordCrash(call)
+	_ = waitFor(ctx, timeToNotice)
 	return nil, connectionLost()
 }
 
@@ -113,3 +118,92 @@
 		})
 	}
 }
+
+// Guards against losing servers to a request that is already suspected: after the first
+// losses it asks one server at a time, and none after the third loss in a row.
+func TestSuspectedShardedRequestAsksOneServerAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := newTestbed()
+		defer time.Sleep(time.Minute)
+		route := tb.shardedRoute(20, 0.89)
+		scene := newCrashScene(tb, 6)
+		for id := range tb.servers {
+			tb.servers[id] = tb.counted(scene.crashable)
+		}
+		for n := range 10 {
+			scene.send(route, n, crashingTarget)
+		}
+		scene.mu.Lock()
+		defer scene.mu.Unlock()
+		assert.Equal(t, len(scene.crashedAt), len(route.Shards)+suspects.MaxLosses-1)
+	})
+}
+
+// Guards against a quarantine of requests that were in flight on the servers that another
+// request crashed: their callers repeat them, and they are served.
+func TestHarmlessRequestsBesideACrashingOneAreServed(t *testing.T) {
+	for name, makeRoute := range map[string]func(tb *testbed) *routing.Route{
+		"single":  func(tb *testbed) *routing.Route { return tb.wideRoute(6) },
+		"sharded": func(tb *testbed) *routing.Route { return tb.shardedRoute(20, 0.89) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tb := newTestbed()
+				defer time.Sleep(time.Minute)
+				route := makeRoute(tb)
+				scene := newCrashScene(tb, 3)
+				for id := range tb.servers {
+					tb.servers[id] = tb.counted(scene.crashable)
+				}
+				var group sync.WaitGroup
+				for n := range 30 {
+					group.Go(func() {
+						time.Sleep(time.Duration(n) * time.Millisecond)
+						assert.Check(t, scene.isServedInTime(route, fmt.Sprint("/x/harmless/", n)), "request %d is not served", n)
+					})
+				}
+				time.Sleep(work / 2)
+				scene.send(route, 0, crashingTarget)
+				group.Wait()
+			})
+		})
+	}
+}
+
+// isServedInTime repeats a request as its caller would until it is served, for some seconds.
+func (scene *crashScene) isServedInTime(route *routing.Route, target string) bool {
+	for n := range 10 {
+		answer := scene.send(route, n, target)
+		if answer.Refusal == nil {
+			return true
+		}
+		if answer.Refusal.Reason == CrashSuspect {
+			return false
+		}
+		time.Sleep(serverDowntime / 4)
+	}
+	return false
+}
+
+// Guards against taking a refusal in quarantine for a shortage: it says that the request has
+// not run and when the quarantine ends, and reaches no server.
+func TestQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		route := tb.wideRoute(6)
+		scene := newCrashScene(tb, 1)
+		for id := range tb.servers {
+			tb.servers[id] = tb.counted(scene.crashable)
+		}
+		scene.send(route, 0, crashingTarget)
+		scene.send(route, 1, crashingTarget)
+		assert.Equal(t, len(scene.crashedAt), suspects.MaxLosses)
+		answer := scene.send(route, 2, crashingTarget)
+		assert.Equal(t, answer.Refusal.Reason, CrashSuspect)
+		assert.Assert(t, answer.Refusal.NotRun)
+		assert.Assert(t, answer.Refusal.RetryAfter > suspects.QuarantineTime-time.Second)
+		assert.Equal(t, len(scene.crashedAt), suspects.MaxLosses)
+		time.Sleep(answer.Refusal.RetryAfter)
+		scene.send(route, 3, crashingTarget)
+		assert.Assert(t, len(scene.crashedAt) > suspects.MaxLosses, "the quarantine has not ended")
+	})
+}
--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -80,6 +80,8 @@
 		mayHaveRun = mayHaveRun || s.lost && s.mayHaveRun
 	}
 	switch {
+	case r.crashes.verdict(time.Now()).Quarantined():
+		return CrashSuspect
 	case r.route.Sharded() && asked:
 		return TooFewShards
 	case mayHaveRun:
@@ -98,6 +100,9 @@
 	if left := r.timing.deadline.Sub(now); left <= 0 {
 		return r.refuse(TimedOut, "no time is left for an attempt")
 	}
+	if verdict := r.crashes.verdict(now); verdict.Quarantined() {
+		return r.refuseCrashSuspect(verdict, now)
+	}
 	if !r.route.Sharded() {
 		return nil
 	}
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -9,12 +9,14 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
 // Engine forwards requests. It is safe for concurrent use.
 type Engine struct {
 	directory         *directory.Directory
 	tracker           *replicas.Tracker
+	suspects          *suspects.Tracker
 	budget            *retrybudget.Budget
 	weights           *routing.WeightedRoundRobin
 	priorities        *recentPriorities
@@ -24,6 +26,7 @@
 	relays            Relays
 	sharing           Sharing
 	onLatenessChange  func(LatenessChange)
+	onSuspect         func(suspects.Suspect)
 	shardedInProgress atomic.Int32
 }
 
@@ -40,12 +43,16 @@
 type Config struct {
 	Directory        *directory.Directory
 	Tracker          *replicas.Tracker
+	Suspects         *suspects.Tracker
 	Budget           *retrybudget.Budget
 	Client           BackendClient
 	Zone             string // this instance's availability zone
 	Relays           Relays
 	Sharing          Sharing
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
+	// OnSuspect tells the other instances about a request that has ended under suspicion
+	// of crashing servers. It must not block.
+	OnSuspect func(suspects.Suspect)
 }
 
 // New returns an engine that has not recorded any request yet.
@@ -53,6 +60,7 @@
 	return &Engine{
 		directory:        config.Directory,
 		tracker:          config.Tracker,
+		suspects:         config.Suspects,
 		budget:           config.Budget,
 		weights:          routing.NewWeightedRoundRobin(),
 		priorities:       newRecentPriorities(),
@@ -62,6 +70,7 @@
 		relays:           config.Relays,
 		sharing:          config.Sharing,
 		onLatenessChange: config.OnLatenessChange,
+		onSuspect:        config.OnSuspect,
 	}
 }
 
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -37,18 +37,22 @@
 	if !r.mayLaunch(s, why, now) {
 		return false
 	}
+	if r.mustProbe(s, now) {
+		s.waiting = true
+		return true
+	}
 	choice, ok := r.choose(s, now)
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
 		return false
 	}
 	if r.mustWait(s, choice, why, now) {
-		if !s.waitingForCapacity {
+		if !s.waiting {
 			r.traceEvent(s, AttemptEvent{Server: choice.Server.ID, Event: "waits for room"})
 		}
-		s.waitingForCapacity = true
+		s.waiting = true
 		return true
 	}
-	s.waitingForCapacity = false
+	s.waiting = false
 	if s.arrivals == 0 && !r.chargedBySender {
 		r.startFirst(s, choice, why, now)
 		return true
@@ -185,6 +189,9 @@
 	if why != first && r.tooLate(s, now) {
 		return false
 	}
+	if verdict := r.crashes.verdict(now); verdict.Quarantined() || why == hedge && verdict.Suspected() {
+		return false
+	}
 	return why == first || r.route.Repeatable || !s.mayHaveRun && s.inFlight == 0
 }
 
@@ -265,6 +272,7 @@
 		res.err = &CallError{Sent: true, Detail: "call to backend server failed", Cause: err}
 	}
 	now := time.Now()
+	r.crashes.record(&res, now)
 	res.expired = r.route.Sharded() && reply != nil && !reply.success() && !reply.Misdirected && !now.Before(call.Until)
 	tracked.End(outcomeOf(&res, r.ctx.Err()), now)
 	deliver(r.ctx, r.results, res)
@@ -309,7 +317,7 @@
 	}
 	for _, s := range r.shardRequests {
 		due := s.lastStarted.Add(r.timing.hedgeDelay)
-		if s.isComplete() || s.hedgeTried || s.waitingForCapacity || now.Before(due) {
+		if s.isComplete() || s.hedgeTried || s.waiting || now.Before(due) {
 			continue
 		}
 		if now.Sub(due) > starvationDelay && !s.hedgePostponed {
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -108,6 +108,7 @@
 func (p *partsSender) finish(result *PartsResult) {
 	r := p.request
 	result.Final = true
+	result.Suspect = r.crashes.suspect(time.Now())
 	result.Events = r.trace.Events
 	result.Attempts, result.Hedges, result.Retries = r.trace.Attempts, r.trace.Hedges, r.trace.Retries
 	for i, s := range r.shardRequests {
--- a/pkg/forward/pooledclient.go
+++ b/pkg/forward/pooledclient.go
@@ -89,7 +89,7 @@
 	if failed.Reused {
 		detail += " (kept connection)"
 	}
-	return &CallError{Sent: failed.Sent, Detail: detail, Cause: failed.Cause}
+	return &CallError{Sent: failed.Sent, ConnectionLost: failed.ConnectionLost(), Detail: detail, Cause: failed.Cause}
 }
 
 // Warm opens a connection to a server unless one is open.
--- a/pkg/forward/reason.go
+++ b/pkg/forward/reason.go
@@ -16,11 +16,12 @@
 	TimedOut        Reason = "timed-out"         // the caller's deadline or the route's timeout has passed
 	AnswerLost      Reason = "answer-lost"       // a server may have run the request, but no reply arrived
 	CallerLeft      Reason = "caller-left"       // the caller has closed its connection
+	CrashSuspect    Reason = "crash-suspect"     // backend servers were lost under the request one after the other
 	ViewUnconfirmed Reason = "view-unconfirmed"  // no route matches, but the table may be out of date
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	NoTable, NoRoute, BodyTooLarge, BadRequest, NoServer, ServersRefused, TooFewShards,
-	TimedOut, AnswerLost, CallerLeft, ViewUnconfirmed,
+	TimedOut, AnswerLost, CallerLeft, CrashSuspect, ViewUnconfirmed,
 }
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
 // Relays finds instances that can ask backend servers on behalf of this one. A relay in
@@ -50,6 +52,9 @@
 	Parts []Part
 	Body  []byte     // the greatest records of all parts, if they are merged
 	Lost  []LostPart // only in the final result
+	// Suspect is set in the final result if the relay suspects the request of crashing
+	// servers.
+	Suspect *suspects.Suspect
 	// Events are for the log of the instance that gathers; they are not sent.
 	Events   []AttemptEvent
 	Attempts int
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -230,6 +230,12 @@
 }
 
 func (r *activeRequest) handleParts(rc *relayCall, result *PartsResult) {
+	if len(result.Parts) > 0 {
+		r.crashes.recordReply()
+	}
+	if result.Suspect != nil {
+		r.crashes.merge(*result.Suspect)
+	}
 	if len(result.Body) > 0 {
 		r.mergedBodies = append(r.mergedBodies, result.Body)
 	}
--- a/pkg/forward/shardrequest.go
+++ b/pkg/forward/shardrequest.go
@@ -27,10 +27,12 @@
 	hedgeTried      bool      // the one hedge was tried, whether or not it was allowed
 	// hedgePostponed is set when a hedge was postponed because this instance got no
 	// processor time.
-	hedgePostponed     bool
-	lost               bool // no reply will come
-	waitingForCapacity bool // an attempt waits until a server has capacity
-	directOnly         bool // a relay has failed; the servers are asked directly from now on
+	hedgePostponed bool
+	lost           bool // no reply will come
+	// waiting is set when an attempt waits until a server has capacity, or for the outcome
+	// of another attempt of a request that may crash servers.
+	waiting    bool
+	directOnly bool // a relay has failed; the servers are asked directly from now on
 	// noLongerNeeded is set when no further reply is needed. Attempts that wait for a
 	// connection read it before they send.
 	noLongerNeeded atomic.Bool
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -13,6 +13,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
 const (
@@ -31,7 +32,8 @@
 	directory *directory.Directory
 	budget    *retrybudget.Budget
 	engine    *Engine
-	relays    map[string]Relay // by zone
+	relays    map[string]Relay    // by zone
+	suspects  []*suspects.Tracker // of all instances
 
 	mu       sync.Mutex
 	servers  map[string]behaviour // by id; a server without an entry answers after work
@@ -51,15 +53,23 @@
 
 // newEngine returns an instance in the zone, with the servers of the testbed.
 func (tb *testbed) newEngine(zone string, relays Relays) *Engine {
+	tracker := suspects.NewTracker(func(suspects.Change) {})
+	tb.suspects = append(tb.suspects, tracker)
 	return New(Config{
 		Directory:        tb.directory,
 		Tracker:          replicas.New(zone, ignoreChange),
+		Suspects:         tracker,
 		Budget:           tb.budget,
 		Client:           tb,
 		Zone:             zone,
 		Relays:           relays,
 		Sharing:          tb,
 		OnLatenessChange: tb.observe,
+		OnSuspect: func(s suspects.Suspect) {
+			for _, other := range tb.suspects {
+				other.Merge(s)
+			}
+		},
 	})
 }
 
@@ -163,7 +173,9 @@
 	return nil, connectionLost()
 }
 
-func connectionLost() *CallError { return &CallError{Sent: true, Detail: "connection lost"} }
+func connectionLost() *CallError {
+	return &CallError{Sent: true, ConnectionLost: true, Detail: "connection lost"}
+}
 
 // fails replies with an error of the server itself.
 func fails(ctx context.Context, _ Call) (*Reply, error) {
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -38,14 +38,14 @@
 		return // the answer goes out without the waiting shard requests
 	}
 	for _, s := range r.shardRequests {
-		if !s.waitingForCapacity {
+		if !s.waiting {
 			continue
 		}
 		// A server may have started to leave while the attempt waited.
 		s.servers = r.engine.directory.Servers(s.service)
 		switch {
 		case r.servesPeer && !now.Before(r.timing.cutoff):
-			s.waitingForCapacity = false
+			s.waiting = false
 			r.markLost(s)
 		case len(s.expiredServers) > 0:
 			if !r.retryExpired(s) {
@@ -62,18 +62,18 @@
 // route's limit on servers may be reached. It returns false when no retry is possible.
 func (r *activeRequest) retryExpired(s *shardRequest) bool {
 	now := time.Now()
-	s.waitingForCapacity = false
+	s.waiting = false
 	if r.servesPeer || len(s.expiredServers) == 0 || !now.Before(r.timing.deadline) {
 		return false
 	}
 	if now.Before(r.timing.cutoff) {
 		// The servers that a relay asks stop shortly before this instance's cutoff.
-		s.waitingForCapacity = true
+		s.waiting = true
 		return true
 	}
 	choice, ok := r.engine.tracker.Choose(s.servers, r.route.Name, func(id string) bool { return !slices.Contains(s.expiredServers, id) }, now)
 	if ok && choice.LimitedAndBusy {
-		s.waitingForCapacity = true
+		s.waiting = true
 		return true
 	}
 	if !ok || !r.chargeBudget(s, now) {
--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -30,13 +30,14 @@
 	client    *Client
 	seeds     func() []string // returns peer addresses
 	relays    *Relays
+	suspects  *SuspectReporter
 	connected map[string]uint64 // relay id to the incarnation that was called in advance
 }
 
 // NewExchanger returns an exchanger. Seeds returns the peer addresses to try besides the
 // known members.
-func NewExchanger(members *Members, client *Client, relays *Relays, seeds func() []string) *Exchanger {
-	return &Exchanger{members: members, client: client, relays: relays, seeds: seeds, connected: make(map[string]uint64)}
+func NewExchanger(members *Members, client *Client, relays *Relays, reporter *SuspectReporter, seeds func() []string) *Exchanger {
+	return &Exchanger{members: members, client: client, relays: relays, suspects: reporter, seeds: seeds, connected: make(map[string]uint64)}
 }
 
 // Serve exchanges at each interval until ctx ends. It implements suture.Service.
@@ -147,7 +148,12 @@
 // time since each was last seen.
 func (e *Exchanger) digestMessage() *peeringpb.ExchangeMessage {
 	digest, ages := e.members.Digest()
-	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().toProto(0), Digest: digest, AgesMs: make([]uint32, len(ages))}
+	m := &peeringpb.ExchangeMessage{
+		Sender:   e.members.Self().toProto(0),
+		Digest:   digest,
+		AgesMs:   make([]uint32, len(ages)),
+		Suspects: e.suspects.quarantined(),
+	}
 	for i, age := range ages {
 		m.AgesMs[i] = toMilliseconds(age)
 	}
@@ -157,7 +163,7 @@
 // fullMessage returns all members that this instance knows. It asks for no members in
 // the reply.
 func (e *Exchanger) fullMessage() *peeringpb.ExchangeMessage {
-	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().toProto(0), Brief: true}
+	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().toProto(0), Brief: true, Suspects: e.suspects.quarantined()}
 	members, ages := e.members.All()
 	for i, member := range members {
 		m.Members = append(m.Members, member.toProto(ages[i]))
@@ -183,7 +189,9 @@
 // merge takes in the members of a message and reports whether its sender knows the same
 // members as this instance.
 func (e *Exchanger) merge(m *peeringpb.ExchangeMessage) bool {
-	e.members.MarkSeen(memberFromProto(m.GetSender()))
+	sender := memberFromProto(m.GetSender())
+	e.members.MarkSeen(sender)
+	e.suspects.merge(sender, m.GetSuspects())
 	for _, member := range m.GetMembers() {
 		e.members.Merge(memberFromProto(member), fromMilliseconds(member.GetAgeMs()))
 	}
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -247,6 +247,9 @@
 	for _, l := range result.Lost {
 		m.Lost = append(m.Lost, &peeringpb.Lost{Index: uint32(l.Index), Arrivals: uint32(max(l.Arrivals, 0)), MayRun: l.MayRun, Again: l.ExpiredServers, Event: l.Event})
 	}
+	if result.Suspect != nil {
+		m.Suspect = suspectToProto(*result.Suspect, time.Now())
+	}
 	return m
 }
 
@@ -266,6 +269,10 @@
 			Index: int(l.GetIndex()), Arrivals: int(l.GetArrivals()), MayRun: l.GetMayRun(), ExpiredServers: l.GetAgain(), Event: l.GetEvent(),
 		})
 	}
+	if m.GetSuspect() != nil {
+		s := suspectFromProto(m.GetSuspect(), time.Now())
+		result.Suspect = &s
+	}
 	return result
 }
 
--- a/pkg/peering/view_test.go
+++ b/pkg/peering/view_test.go
@@ -8,6 +8,8 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
 // Guards against using a cached view after a member or the passing of time has
@@ -54,7 +56,8 @@
 			m.Merge(memberIn(id, "z1"), time.Second)
 		}
 	}
-	return NewExchanger(m, nil, nil, nil)
+	reporter := NewSuspectReporter(m, nil, nil, suspects.NewTracker(func(suspects.Change) {}))
+	return NewExchanger(m, nil, nil, reporter, nil)
 }
 
 // Guards against listing all members in each message when nothing has changed. The
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -15,6 +15,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/feed"
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
 	"github.com/sycamorelift/sycamorelift/pkg/peering/peeringpb"
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
 // stubFeed serves one batch, or an error.
@@ -61,7 +62,7 @@
 	served := NewMembers(memberIn("served", "z2"), time.Now, quiet)
 	served.Merge(memberIn("third", "z3"), time.Second)
 	client := NewClient()
-	exchanger := NewExchanger(served, client, NewRelays(served, client), func() []string { return nil })
+	exchanger := wiredExchanger(served, client, func() []string { return nil })
 	server := httptest.NewServer(NewServer(exchanger, f, g, quiet))
 	t.Cleanup(server.Close)
 	members := NewMembers(memberIn("self", "z1"), time.Now, quiet)
@@ -70,6 +71,12 @@
 	return peerFixture{members: members, client: NewClient(), address: address}
 }
 
+func wiredExchanger(members *Members, client *Client, seeds func() []string) *Exchanger {
+	relays := NewRelays(members, client)
+	reporter := NewSuspectReporter(members, client, relays, suspects.NewTracker(func(suspects.Change) {}))
+	return NewExchanger(members, client, relays, reporter, seeds)
+}
+
 func partsCallOf(services ...string) *forward.PartsCall {
 	return &forward.PartsCall{
 		Request: &forward.Request{ID: "id", Method: "GET", Target: "/a/2f?q=1", Host: "h.example",
@@ -163,7 +170,7 @@
 // Guards against instances that do not get to know each other through a third one.
 func TestExchangeSpreadsMembers(t *testing.T) {
 	p := servePeer(t, stubFeed{}, &stubGatherer{})
-	exchanger := NewExchanger(p.members, p.client, NewRelays(p.members, p.client), func() []string { return []string{p.address} })
+	exchanger := wiredExchanger(p.members, p.client, func() []string { return []string{p.address} })
 	exchanger.exchange(context.Background(), Member{Address: p.address}, exchanger.digestMessage())
 	assert.DeepEqual(t, usableIDs(p.members, "z3"), []string{"third"})
 	reply, err := p.client.Exchange(context.Background(), p.address, &peeringpb.ExchangeMessage{Sender: memberIn("self", "z1").toProto(0), Brief: true})
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/feed"
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
@@ -21,6 +22,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/settings"
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
 
@@ -52,6 +54,7 @@
 	members   *peering.Members
 	client    *peering.Client
 	exchanger *peering.Exchanger
+	reporter  *peering.SuspectReporter
 	lifecycle *lifecycle.Lifecycle
 	registry  *telemetry.Registry
 	warmer    *warmer
@@ -120,18 +123,22 @@
 func (r *Instance) openListeners() error {
 	s := r.options.Settings
 	relays := peering.NewRelays(r.members, r.client)
+	tracker := suspects.NewTracker(r.logSuspect)
+	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
 		Tracker:          replicas.New(s.Instance.Zone, r.logServerChange),
+		Suspects:         tracker,
 		Budget:           r.budget,
 		Client:           r.sender,
 		Zone:             s.Instance.Zone,
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
+		OnSuspect:        r.reporter.Report,
 	})
 	r.warmer = &warmer{zone: s.Instance.Zone, directory: r.directory, follower: r.follower, engine: engine, sender: r.sender}
-	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.seeds)
+	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.reporter, r.seeds)
 	peerHandler := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
 	callerHandler := r.lifecycle.Handler(gateway.New(r.options.Codec, r.follower, engine, recorder))
@@ -157,6 +164,16 @@
 		"failures", c.Failures, "ejections", c.Ejections, "took_ms", c.Took.Milliseconds(), "limit", c.Limit)
 }
 
+// logSuspect logs a request under which a backend server was lost.
+func (r *Instance) logSuspect(c suspects.Change) {
+	level, message := slog.LevelInfo, "request suspected of crashing backend servers"
+	if c.Verdict.Quarantined() {
+		level, message = slog.LevelWarn, "request quarantined for crashing backend servers"
+	}
+	r.logger.Log(context.Background(), level, message, "fingerprint", crashguard.FormatFingerprint(c.Fingerprint), "backend_server", c.Server,
+		"losses", c.Verdict.Losses, "until", c.Verdict.Until, "reported", c.Reported)
+}
+
 // logLateness logs when more shards of a route are late than its answers may lack, and
 // when that is over.
 func (r *Instance) logLateness(c forward.LatenessChange) {
@@ -194,6 +211,7 @@
 	}
 	supervisor.Add(r.follower)
 	supervisor.Add(r.exchanger)
+	supervisor.Add(r.reporter)
 	supervisor.Add(r.warmer)
 	finished := supervisor.ServeBackground(serveCtx)
 	r.logger.Info("started", "instance_zone", r.options.Settings.Instance.Zone)
--- /dev/null
+++ b/pkg/suspects/doc.go
@@ -0,0 +1,13 @@
+// Package suspects recognises requests that crash backend servers, and quarantines them.
+//
+// A request is suspected when the connection to a server is lost while the server runs it.
+// Losses count one after the other: attempts that ran side by side count once, because one
+// fault may have ended their servers together. MaxLosses consecutive losses without any
+// reply quarantine the request for QuarantineTime. A reply to the request clears it, and a
+// server that soon answers another request has not crashed.
+//
+// Package crashguard serves requests that callers repeat with the same content and that
+// instances therefore know to succeed. Here almost every request is new, so a request is
+// judged by its own attempts alone: others that were in flight on a crashed server are
+// cleared by their next attempt.
+package suspects
--- /dev/null
+++ b/pkg/suspects/limits.go
@@ -0,0 +1,22 @@
+package suspects
+
+import "time"
+
+const (
+	// MaxLosses is the number of consecutive losses that quarantines a request. A request
+	// without fault reaches it only if three servers in a row are lost under it.
+	MaxLosses = 3
+	// QuarantineTime is how long after its latest loss a request is suspected.
+	QuarantineTime = 10 * time.Minute
+	// restartTime is the least time in which a crashed server is back. A reply of the same
+	// run of the server within it shows that only a connection was lost.
+	restartTime = time.Second
+
+	// Bounds on memory. The oldest suspect is dropped first.
+	maxSuspects = 4096
+	// maxLossesKept exceeds MaxLosses: reports may arrive out of order, so that a loss that
+	// does not count now may count later.
+	maxLossesKept = 8
+	// maxShared is the number of quarantined requests that Quarantined returns.
+	maxShared = 64
+)
--- /dev/null
+++ b/pkg/suspects/suspect.go
@@ -0,0 +1,68 @@
+package suspects
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Suspect is a request that may crash servers.
+type Suspect struct {
+	Fingerprint uint64 // of the request's content
+	Losses      []Loss // by the time of their ends
+}
+
+// Verdict states how a request may be sent.
+type Verdict struct {
+	Losses int       // consecutive losses; 0 for a request without suspicion
+	Until  time.Time // end of the suspicion
+}
+
+// Suspected reports whether the request may be sent to one server at a time only.
+func (v Verdict) Suspected() bool { return v.Losses > 0 }
+
+// Quarantined reports whether the request may not be sent to any server.
+func (v Verdict) Quarantined() bool { return v.Losses >= MaxLosses }
+
+// add adds a loss, unless it is known: one run of a server is lost only once. Dropped is the
+// server of the loss that had to go for it, possibly the new one, or empty.
+func (s *Suspect) add(loss Loss) (added bool, dropped string) {
+	if slices.ContainsFunc(s.Losses, func(known Loss) bool { return known.Server == loss.Server }) {
+		return false, ""
+	}
+	s.Losses = append(s.Losses, loss)
+	slices.SortFunc(s.Losses, func(a, b Loss) int {
+		return cmp.Or(a.Ended.Compare(b.Ended), cmp.Compare(a.Server, b.Server))
+	})
+	if len(s.Losses) <= maxLossesKept {
+		return true, ""
+	}
+	dropped = s.dropUncounted()
+	return dropped != loss.Server, dropped
+}
+
+// dropUncounted drops the last loss that does not count, or the last one if all do. It
+// returns the server of that loss.
+func (s *Suspect) dropUncounted() string {
+	dropped := len(s.Losses) - 1
+	for counted := consecutive(s.Losses); dropped > 0 && slices.Contains(counted, dropped); {
+		dropped--
+	}
+	if dropped == 0 { // the first loss always counts
+		dropped = len(s.Losses) - 1
+	}
+	server := s.Losses[dropped].Server
+	s.Losses = slices.Delete(s.Losses, dropped, dropped+1)
+	return server
+}
+
+// expired reports whether the suspicion has ended.
+func (s *Suspect) expired(now time.Time) bool {
+	return len(s.Losses) == 0 || !now.Before(s.until())
+}
+
+func (s *Suspect) until() time.Time { return s.Losses[len(s.Losses)-1].Ended.Add(QuarantineTime) }
+
+func (s *Suspect) clone() Suspect {
+	return Suspect{Fingerprint: s.Fingerprint, Losses: slices.Clone(s.Losses)}
+}
--- /dev/null
+++ b/pkg/suspects/tracker.go
@@ -0,0 +1,175 @@
+package suspects
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Tracker holds the suspected requests of all instances as far as this instance knows
+// them. It is safe for concurrent use.
+type Tracker struct {
+	onChange func(Change) // called without locks held; must not block
+
+	mu       sync.Mutex
+	suspects map[uint64]*Suspect
+	order    []uint64            // fingerprints by the time at which they became suspects
+	lost     map[string][]uint64 // fingerprints of the suspects with a loss, by run of the server
+}
+
+// NewTracker returns a tracker without suspects. It calls onChange for each loss that
+// changes a verdict.
+func NewTracker(onChange func(Change)) *Tracker {
+	return &Tracker{onChange: onChange, suspects: make(map[uint64]*Suspect), lost: make(map[string][]uint64)}
+}
+
+// Verdict returns how a request may be sent now.
+func (t *Tracker) Verdict(fingerprint uint64, now time.Time) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.verdictLocked(fingerprint, now)
+}
+
+func (t *Tracker) verdictLocked(fingerprint uint64, now time.Time) Verdict {
+	s := t.suspects[fingerprint]
+	if s == nil {
+		return Verdict{}
+	}
+	if s.expired(now) {
+		t.removeLocked(fingerprint)
+		return Verdict{}
+	}
+	return Verdict{Losses: len(consecutive(s.Losses)), Until: s.until()}
+}
+
+// RecordLoss records that a connection was lost under a request.
+func (t *Tracker) RecordLoss(fingerprint uint64, loss Loss) {
+	t.merge(fingerprint, []Loss{loss}, false)
+}
+
+// Merge takes in what another instance knows of a suspect and reports whether any of it was
+// new.
+func (t *Tracker) Merge(reported Suspect) bool {
+	return t.merge(reported.Fingerprint, reported.Losses, true)
+}
+
+func (t *Tracker) merge(fingerprint uint64, losses []Loss, reported bool) bool {
+	changes, added := t.addLosses(fingerprint, losses, reported)
+	for _, change := range changes {
+		t.onChange(change)
+	}
+	return added
+}
+
+// addLosses adds the losses that are not known yet. It returns the changes of the verdict,
+// and whether a loss was new.
+func (t *Tracker) addLosses(fingerprint uint64, losses []Loss, reported bool) (changes []Change, added bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, loss := range losses {
+		before := t.verdictLocked(fingerprint, loss.Ended)
+		s := t.suspects[fingerprint]
+		if s == nil {
+			s = t.createLocked(fingerprint)
+		}
+		isNew, dropped := s.add(loss)
+		if !isNew {
+			continue
+		}
+		added = true
+		t.lost[loss.Server] = append(t.lost[loss.Server], fingerprint)
+		if dropped != "" {
+			t.unlistLocked(dropped, fingerprint)
+		}
+		if after := t.verdictLocked(fingerprint, loss.Ended); after.Losses != before.Losses {
+			changes = append(changes, Change{Fingerprint: fingerprint, Server: loss.Server, Verdict: after, Reported: reported})
+		}
+	}
+	return changes, added
+}
+
+func (t *Tracker) createLocked(fingerprint uint64) *Suspect {
+	if len(t.order) >= maxSuspects {
+		t.removeLocked(t.order[0])
+	}
+	s := &Suspect{Fingerprint: fingerprint}
+	t.suspects[fingerprint] = s
+	t.order = append(t.order, fingerprint)
+	return s
+}
+
+// RecordReply clears a request that a server has answered.
+func (t *Tracker) RecordReply(fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.suspects[fingerprint] != nil {
+		t.removeLocked(fingerprint)
+	}
+}
+
+// RecordAlive records that a run of a server has answered an attempt that began at the
+// given time. Losses shortly before were of connections only and no longer count.
+func (t *Tracker) RecordAlive(server string, began time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, fingerprint := range slices.Clone(t.lost[server]) {
+		s := t.suspects[fingerprint]
+		kept := slices.DeleteFunc(slices.Clone(s.Losses), func(loss Loss) bool {
+			return loss.Server == server && !began.Before(loss.Ended) && began.Sub(loss.Ended) < restartTime
+		})
+		if len(kept) == len(s.Losses) {
+			continue
+		}
+		s.Losses = kept
+		t.unlistLocked(server, fingerprint)
+		if len(kept) == 0 {
+			t.removeLocked(fingerprint)
+		}
+	}
+}
+
+// Suspect returns what is known of a request that is suspected.
+func (t *Tracker) Suspect(fingerprint uint64, now time.Time) (Suspect, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.verdictLocked(fingerprint, now).Suspected() {
+		return Suspect{}, false
+	}
+	return t.suspects[fingerprint].clone(), true
+}
+
+// Quarantined returns the requests that became suspects last among those in quarantine, at
+// most maxShared of them.
+func (t *Tracker) Quarantined(now time.Time) []Suspect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var quarantined []Suspect
+	for _, fingerprint := range slices.Backward(slices.Clone(t.order)) {
+		if len(quarantined) == maxShared {
+			break
+		}
+		if t.verdictLocked(fingerprint, now).Quarantined() {
+			quarantined = append(quarantined, t.suspects[fingerprint].clone())
+		}
+	}
+	return quarantined
+}
+
+func (t *Tracker) removeLocked(fingerprint uint64) {
+	for _, loss := range t.suspects[fingerprint].Losses {
+		t.unlistLocked(loss.Server, fingerprint)
+	}
+	delete(t.suspects, fingerprint)
+	if i := slices.Index(t.order, fingerprint); i >= 0 {
+		t.order = slices.Delete(t.order, i, i+1)
+	}
+}
+
+func (t *Tracker) unlistLocked(server string, fingerprint uint64) {
+	left := slices.DeleteFunc(t.lost[server], func(other uint64) bool { return other == fingerprint })
+	if len(left) == 0 {
+		delete(t.lost, server)
+		return
+	}
+	t.lost[server] = left
+}
