Send nothing to a backend server that asks for a pause

Cause: what a server states about itself was not decoded. It now travels as Reply.Notice, and the tracker does not choose a server until its pause is over.

--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -274,6 +274,9 @@
 	now := time.Now()
 	r.crashes.record(&res, now)
 	res.expired = r.route.Sharded() && reply != nil && !reply.success() && !reply.Misdirected && !now.Before(call.Until)
+	if reply != nil && !reply.Misdirected {
+		tracked.Observe(reply.Notice, now)
+	}
 	tracked.End(outcomeOf(&res, r.ctx.Err()), now)
 	deliver(r.ctx, r.results, res)
 }
--- a/pkg/forward/reply.go
+++ b/pkg/forward/reply.go
@@ -1,6 +1,10 @@
 package forward
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/sycamorelift/sycamorelift/pkg/replicas"
+)
 
 // Reply is a complete reply of a backend server.
 type Reply struct {
@@ -12,6 +16,7 @@
 	// Misdirected is set when the address now belongs to another server than the one asked
 	// for (HTTP 421); NotRun is then set too.
 	Misdirected bool
+	Notice      replicas.Notice // what the server states about itself
 }
 
 // success reports whether the reply holds a result with a proof.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -161,7 +161,7 @@
 // observes it.
 func (r *Instance) logServerChange(c replicas.Change) {
 	r.logger.Info("backend server "+string(c.Kind), "backend_server", c.Server, "service", c.Service,
-		"failures", c.Failures, "ejections", c.Ejections, "took_ms", c.Took.Milliseconds(), "limit", c.Limit)
+		"failures", c.Failures, "ejections", c.Ejections, "took_ms", c.Took.Milliseconds(), "limit", c.Limit, "pause_ms", c.Pause.Milliseconds())
 }
 
 // logSuspect logs a request under which a backend server was lost.
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -17,6 +17,19 @@
 	ended   bool
 }
 
+// Observe records what the server states about itself in its reply.
+func (a *Attempt) Observe(notice Notice, now time.Time) {
+	if notice.PauseFor <= 0 {
+		return
+	}
+	a.tracker.mu.Lock()
+	if until := now.Add(notice.PauseFor); until.After(a.server.pausedUntil) {
+		a.server.pausedUntil = until
+	}
+	a.tracker.mu.Unlock()
+	a.tracker.onChange(Change{Kind: ChangePaused, Server: a.target.ID, Service: a.target.Service, Took: now.Sub(a.began), Pause: notice.PauseFor})
+}
+
 // End records the outcome of the attempt and reports the health changes that it causes.
 // Only the first call has an effect.
 func (a *Attempt) End(outcome Outcome, now time.Time) {
--- a/pkg/replicas/change.go
+++ b/pkg/replicas/change.go
@@ -7,10 +7,11 @@
 
 // Kinds of health change.
 const (
-	ChangeEjected     ChangeKind = "ejected"       // after several consecutive failures
-	ChangeReturned    ChangeKind = "answers again" // first reply after an ejection
-	ChangeLimited     ChangeKind = "limited"       // attempts missed their due time
-	ChangeLimitLifted ChangeKind = "limit lifted"  // after fast replies, or when no attempt was late for a while
+	ChangeEjected     ChangeKind = "ejected"          // after several consecutive failures
+	ChangeReturned    ChangeKind = "answers again"    // first reply after an ejection
+	ChangeLimited     ChangeKind = "limited"          // attempts missed their due time
+	ChangePaused      ChangeKind = "asks for a pause" // it wants no requests for a while
+	ChangeLimitLifted ChangeKind = "limit lifted"     // after fast replies, or when no attempt was late for a while
 )
 
 // Change describes a change in the observed health of one server, for logs.
@@ -21,6 +22,7 @@
 	Failures  int           // consecutive failed attempts
 	Ejections int           // consecutive ejections without a reply between them
 	Took      time.Duration // duration of the attempt that caused the change
+	Pause     time.Duration // for which the server wants no requests
 	Limit     float64       // concurrent attempts allowed at the server; 0 is unlimited
 }
 
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -59,7 +59,7 @@
 }
 
 // evaluateLocked computes the score of a candidate. It returns false if another server
-// was recently found at its address.
+// was recently found at its address, or if the server wants no requests now.
 func (t *Tracker) evaluateLocked(candidate *directory.Server, route string, now time.Time) (Choice, bool) {
 	state := t.serverLocked(candidate.Key(), now)
 	state.age(now)
@@ -67,6 +67,9 @@
 	if !state.misdirectedAt.IsZero() && now.Sub(state.misdirectedAt) < misdirectedExclusion {
 		return c, false
 	}
+	if now.Before(state.pausedUntil) {
+		return c, false
+	}
 	slowness := state.slowness
 	if now.Before(candidate.WarmAt) {
 		slowness = max(slowness, coldSlowness)
--- /dev/null
+++ b/pkg/replicas/notice.go
@@ -0,0 +1,9 @@
+package replicas
+
+import "time"
+
+// Notice is what a server states about itself in a reply. The zero value states nothing.
+type Notice struct {
+	// PauseFor is how long the server wants no requests from this instance.
+	PauseFor time.Duration
+}
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -49,6 +49,7 @@
 	limit                concurrencyLimit
 	lastAttemptEnd       time.Time
 	misdirectedAt        time.Time // when another server last answered at the address
+	pausedUntil          time.Time // until then the server wants no requests from this instance
 }
 
 func newServer(now time.Time) *server { return &server{slowness: 1, decayedAt: now, lastAccess: now} }
