Keep to the rate limit that a backend server names

A backend server in need names in its replies how many requests a second it takes from all instances together.

Cause: the field was not read; what a server states about itself did not reach the choice of a server. Ruled out: hedges and repeats, which were none at that service.

The limit is now part of Reply.Notice. The tracker keeps a token bucket for each server that names one, filled with this instance's share: the instances of the server's zone divide the limit, those of other zones another fifth. First attempts reserve a later request when the reply is in time, and a request with too many shards without room is refused at once, as not run, with a Retry-After.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -190,6 +190,7 @@
 func (r *activeRequest) markNoLongerNeeded() {
 	for _, s := range r.shardRequests {
 		s.noLongerNeeded.Store(true)
+		r.dropReservation(s, time.Now())
 	}
 }
 
@@ -218,6 +219,9 @@
 	if now.Before(r.wakeAt) && r.wakeAt.Before(next) {
 		next = r.wakeAt
 	}
+	if at, waits := r.nextReservation(); waits && at.Before(next) {
+		next = at
+	}
 	if !r.route.Repeatable {
 		return next
 	}
@@ -227,7 +231,7 @@
 		}
 	}
 	for _, s := range r.shardRequests {
-		if s.waiting && now.Add(capacityPollInterval).Before(next) {
+		if s.waiting && s.reservation == nil && now.Add(capacityPollInterval).Before(next) {
 			next = now.Add(capacityPollInterval)
 		}
 		if s.isComplete() || s.hedgeTried || s.waiting {
--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -94,8 +94,9 @@
 }
 
 // refuseIfUnanswerable refuses a request before anything is sent if its caller's time is
-// over, or if it is sharded and too many shards have no server that answers. Servers that
-// failed are tried again when their ejection ends.
+// over, if it is sharded and too many shards have no server that answers, or if the rate limits
+// of too many servers delay it too long. Servers that failed are tried again when their ejection
+// ends.
 func (r *activeRequest) refuseIfUnanswerable(now time.Time) *Answer {
 	if left := r.timing.deadline.Sub(now); left <= 0 {
 		return r.refuse(TimedOut, "no time is left for an attempt")
@@ -103,20 +104,40 @@
 	if verdict := r.crashes.verdict(now); verdict.Quarantined() {
 		return r.refuseCrashSuspect(verdict, now)
 	}
-	if !r.route.Sharded() {
-		return nil
-	}
 	unavailable := 0
+	var limited []time.Duration // how much longer than allowed the rate limits of shards delay
 	for _, s := range r.shardRequests {
-		if choice, ok := r.choose(s, now); !ok || choice.Ejected {
+		choice, ok := r.choose(s, now)
+		switch {
+		case r.route.Sharded() && (!ok || choice.Ejected):
 			unavailable++
+		case ok && choice.RateDelay > r.maxRateDelay(now) && !r.isRelayed(s, choice.Server, first):
+			limited = append(limited, choice.RateDelay-r.maxRateDelay(now))
 		}
 	}
-	required := r.route.RequiredShards()
-	if len(r.shardRequests)-unavailable >= required {
+	total, required := len(r.shardRequests), 1
+	if r.route.Sharded() {
+		required = r.route.RequiredShards()
+	}
+	missing := unavailable + len(limited) - (total - required) // shards that are too few
+	switch {
+	case missing <= 0:
 		return nil
+	case missing <= len(limited):
+		slices.Sort(limited)
+		return r.refuseRateLimited(limited[missing-1], fmt.Sprintf("the rate limits of the servers of %d of %d shards are used up, %d required", len(limited), total, required))
+	default:
+		return r.refuse(NoServer, fmt.Sprintf("%d of %d shards without a server that answers, %d required", unavailable, total, required))
 	}
-	return r.refuse(NoServer, fmt.Sprintf("%d of %d shards without a server that answers, %d required", unavailable, len(r.shardRequests), required))
+}
+
+// refuseRateLimited refuses a request whose servers accept it in time only after a pause.
+// Another instance may have more of the limit left, so the pause is not longer than that of a
+// request without a server.
+func (r *activeRequest) refuseRateLimited(pause time.Duration, detail string) *Answer {
+	answer := r.refuse(RateLimited, detail)
+	answer.Refusal.RetryAfter = min(max(pause, refusedRetryAfter), answer.Refusal.RetryAfter)
+	return answer
 }
 
 // refuse returns an answer that refuses the request. It states that the request has not
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -45,6 +45,9 @@
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
 		return false
 	}
+	if choice.RateDelay > 0 && !r.isRelayed(s, choice.Server, why) {
+		return why == first && r.reserve(s, choice, now)
+	}
 	if r.mustWait(s, choice, why, now) {
 		if !s.waiting {
 			r.traceEvent(s, AttemptEvent{Server: choice.Server.ID, Event: "waits for room"})
@@ -53,6 +56,12 @@
 		return true
 	}
 	s.waiting = false
+	return r.start(s, choice, why, now)
+}
+
+// start starts an attempt at the chosen server, and returns false if the budget does not
+// allow it.
+func (r *activeRequest) start(s *shardRequest, choice replicas.Choice, why purpose, now time.Time) bool {
 	if s.arrivals == 0 && !r.chargedBySender {
 		r.startFirst(s, choice, why, now)
 		return true
--- a/pkg/forward/reason.go
+++ b/pkg/forward/reason.go
@@ -11,6 +11,7 @@
 	BodyTooLarge    Reason = "body-too-large"    // rule: the body exceeds the limit
 	BadRequest      Reason = "bad-request"       // the request cannot be read
 	NoServer        Reason = "no-backend-server" // shortage: no usable backend server
+	RateLimited     Reason = "rate-limited"      // shortage: the servers' own rate limits are used up
 	ServersRefused  Reason = "servers-refused"   // shortage: every server asked was at capacity
 	TooFewShards    Reason = "too-few-shards"    // shortage: fewer shards than the route requires
 	TimedOut        Reason = "timed-out"         // the caller's deadline or the route's timeout has passed
@@ -22,6 +23,6 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	NoTable, NoRoute, BodyTooLarge, BadRequest, NoServer, ServersRefused, TooFewShards,
+	NoTable, NoRoute, BodyTooLarge, BadRequest, NoServer, RateLimited, ServersRefused, TooFewShards,
 	TimedOut, AnswerLost, CallerLeft, CrashSuspect, ViewUnconfirmed,
 }
--- a/pkg/forward/shardrequest.go
+++ b/pkg/forward/shardrequest.go
@@ -31,8 +31,10 @@
 	lost           bool // no reply will come
 	// waiting is set when an attempt waits until a server has capacity, or for the outcome
 	// of another attempt of a request that may crash servers.
-	waiting    bool
-	directOnly bool // a relay has failed; the servers are asked directly from now on
+	waiting bool
+	// reservation is set while an attempt waits for the rate limit of its server.
+	reservation *reservation
+	directOnly  bool // a relay has failed; the servers are asked directly from now on
 	// noLongerNeeded is set when no further reply is needed. Attempts that wait for a
 	// connection read it before they send.
 	noLongerNeeded atomic.Bool
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -57,7 +57,7 @@
 	tb.suspects = append(tb.suspects, tracker)
 	return New(Config{
 		Directory:        tb.directory,
-		Tracker:          replicas.New(zone, ignoreChange),
+		Tracker:          replicas.New(zone, tb, ignoreChange),
 		Suspects:         tracker,
 		Budget:           tb.budget,
 		Client:           tb,
@@ -84,6 +84,11 @@
 func (tb *testbed) ZoneShare() float64   { return 1 }
 func (tb *testbed) RemoteInstances() int { return 1 }
 
+// RateShare implements replicas.RateSharing. All instances have equal shares.
+func (tb *testbed) RateShare(_, _ string, limit float64) float64 {
+	return limit / float64(max(len(tb.suspects), 1))
+}
+
 func (tb *testbed) Pick(zone string) Relay { return tb.relays[zone] }
 func (tb *testbed) Stronger() Relay        { return tb.relays[localZone] }
 
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -41,6 +41,10 @@
 		if !s.waiting {
 			continue
 		}
+		if s.reservation != nil {
+			r.resumeReserved(s, now)
+			continue
+		}
 		// A server may have started to leave while the attempt waited.
 		s.servers = r.engine.directory.Servers(s.service)
 		switch {
@@ -72,6 +76,9 @@
 		return true
 	}
 	choice, ok := r.engine.tracker.Choose(s.servers, r.route.Name, func(id string) bool { return !slices.Contains(s.expiredServers, id) }, now)
+	if ok && choice.RateDelay > 0 {
+		return false
+	}
 	if ok && choice.LimitedAndBusy {
 		s.waiting = true
 		return true
--- /dev/null
+++ b/pkg/peering/ratesharing_test.go
@@ -0,0 +1,52 @@
+package peering
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against shares of a server's rate limit that add up to more than the limit and its
+// remote share, or to so little that the server stays idle, and against more instances with a
+// share than the limit has requests a second.
+func TestRateSharesAddUpToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0.1, 200).Draw(t, "limit")
+		var all []Member
+		for n := range rapid.IntRange(1, 30).Draw(t, "instances") {
+			member := memberIn(fmt.Sprint("i", n), rapid.SampledFrom([]string{"z1", "z2", "z3"}).Draw(t, "zone"))
+			member.Millicores = rapid.IntRange(100, 800).Draw(t, "millicores")
+			all = append(all, member)
+		}
+		local, remote, sharers, localMembers := 0.0, 0.0, 0, 0
+		for _, self := range all {
+			m := NewMembers(self, time.Now, slog.New(slog.DiscardHandler))
+			for _, other := range all {
+				m.Merge(other, 0)
+			}
+			share := m.RateShare("server", "z1", limit)
+			if share > 0 {
+				sharers++
+			}
+			if self.Zone == "z1" {
+				local += share
+				localMembers++
+			} else {
+				remote += share
+			}
+		}
+		const rounding = 1e-6
+		assert.Assert(t, local <= limit+rounding)
+		assert.Assert(t, float64(sharers) <= (1+remoteRateShare)*limit/minSharedRate+rounding)
+		if localMembers > 0 {
+			assert.Assert(t, remote <= remoteRateShare*limit+rounding)
+			assert.Assert(t, limit < minSharedRate || local >= limit-rounding, "%.2f of %.2f", local, limit)
+		} else {
+			assert.Assert(t, remote <= limit+rounding)
+		}
+	})
+}
--- a/pkg/peering/view.go
+++ b/pkg/peering/view.go
@@ -14,9 +14,12 @@
 type view struct {
 	validUntil time.Time           // the view is invalid from then on
 	usable     map[string][]Member // members that can be given work, by zone; this zone always has an entry, "" is all zones
-	memberIDs  []string            // ids of all members and of this instance, sorted
-	digest     uint64              // of the members in memberIDs; never 0
-	instances  int                 // number of instances, including this one
+	// known holds all members and this instance, by zone, whether or not they can be given
+	// work: those that cannot may still be sending requests.
+	known     map[string][]Member
+	memberIDs []string // ids of all members and of this instance, sorted
+	digest    uint64   // of the members in memberIDs; never 0
+	instances int      // number of instances, including this one
 
 	millicores     int // sum over all usable members and this instance
 	zoneMillicores int // sum over those in this zone
@@ -41,6 +44,7 @@
 	v := &view{
 		validUntil:     now.Add(memberTTL),
 		usable:         map[string][]Member{"": nil, m.self.Zone: nil},
+		known:          map[string][]Member{m.self.Zone: {m.self}},
 		memberIDs:      []string{m.self.ID},
 		instances:      1,
 		millicores:     m.self.Millicores,
@@ -54,6 +58,7 @@
 			continue
 		}
 		v.memberIDs = append(v.memberIDs, id)
+		v.known[k.Zone] = append(v.known[k.Zone], k.Member)
 		v.instances++
 		v.validAtMostUntil(expiresAt)
 		switch {
@@ -87,6 +92,17 @@
 	}
 }
 
+// knownOutside returns all members and this instance, without those of a zone.
+func (v *view) knownOutside(zone string) []Member {
+	var members []Member
+	for other, known := range v.known {
+		if other != zone {
+			members = append(members, known...)
+		}
+	}
+	return members
+}
+
 // digestLocked returns a digest of the members' ids, incarnations and leaving states.
 // Instances with equal digests know the same members.
 func (m *Members) digestLocked(memberIDs []string) uint64 {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -127,7 +127,7 @@
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
-		Tracker:          replicas.New(s.Instance.Zone, r.logServerChange),
+		Tracker:          replicas.New(s.Instance.Zone, r.members, r.logServerChange),
 		Suspects:         tracker,
 		Budget:           r.budget,
 		Client:           r.sender,
@@ -161,7 +161,7 @@
 // observes it.
 func (r *Instance) logServerChange(c replicas.Change) {
 	r.logger.Info("backend server "+string(c.Kind), "backend_server", c.Server, "service", c.Service,
-		"failures", c.Failures, "ejections", c.Ejections, "took_ms", c.Took.Milliseconds(), "limit", c.Limit, "pause_ms", c.Pause.Milliseconds())
+		"failures", c.Failures, "ejections", c.Ejections, "took_ms", c.Took.Milliseconds(), "limit", c.Limit, "pause_ms", c.Pause.Milliseconds(), "rate", c.Rate)
 }
 
 // logSuspect logs a request under which a backend server was lost.
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -19,15 +19,37 @@
 
 // Observe records what the server states about itself in its reply.
 func (a *Attempt) Observe(notice Notice, now time.Time) {
-	if notice.PauseFor <= 0 {
-		return
+	for _, kind := range a.observe(notice, now) {
+		a.tracker.onChange(Change{
+			Kind:    kind,
+			Server:  a.target.ID,
+			Service: a.target.Service,
+			Took:    now.Sub(a.began),
+			Pause:   notice.PauseFor,
+			Rate:    notice.RateLimit,
+		})
 	}
+}
+
+func (a *Attempt) observe(notice Notice, now time.Time) []ChangeKind {
 	a.tracker.mu.Lock()
-	if until := now.Add(notice.PauseFor); until.After(a.server.pausedUntil) {
-		a.server.pausedUntil = until
+	defer a.tracker.mu.Unlock()
+	var kinds []ChangeKind
+	if notice.PauseFor > 0 {
+		kinds = append(kinds, ChangePaused)
+		if until := now.Add(notice.PauseFor); until.After(a.server.pausedUntil) {
+			a.server.pausedUntil = until
+		}
+	}
+	before := a.server.rate.limit
+	a.server.rate.observe(notice.RateLimit, a.began, now)
+	switch after := a.server.rate.limit; {
+	case after == 0 && before != 0:
+		kinds = append(kinds, ChangeRateLifted)
+	case after != before:
+		kinds = append(kinds, ChangeRateNamed)
 	}
-	a.tracker.mu.Unlock()
-	a.tracker.onChange(Change{Kind: ChangePaused, Server: a.target.ID, Service: a.target.Service, Took: now.Sub(a.began), Pause: notice.PauseFor})
+	return kinds
 }
 
 // End records the outcome of the attempt and reports the health changes that it causes.
--- a/pkg/replicas/change.go
+++ b/pkg/replicas/change.go
@@ -7,9 +7,11 @@
 
 // Kinds of health change.
 const (
-	ChangeEjected     ChangeKind = "ejected"          // after several consecutive failures
-	ChangeReturned    ChangeKind = "answers again"    // first reply after an ejection
-	ChangeLimited     ChangeKind = "limited"          // attempts missed their due time
+	ChangeEjected     ChangeKind = "ejected"       // after several consecutive failures
+	ChangeReturned    ChangeKind = "answers again" // first reply after an ejection
+	ChangeLimited     ChangeKind = "limited"       // attempts missed their due time
+	ChangeRateNamed   ChangeKind = "names a rate limit"
+	ChangeRateLifted  ChangeKind = "names no rate limit any more"
 	ChangePaused      ChangeKind = "asks for a pause" // it wants no requests for a while
 	ChangeLimitLifted ChangeKind = "limit lifted"     // after fast replies, or when no attempt was late for a while
 )
@@ -23,6 +25,7 @@
 	Ejections int           // consecutive ejections without a reply between them
 	Took      time.Duration // duration of the attempt that caused the change
 	Pause     time.Duration // for which the server wants no requests
+	Rate      float64       // requests a second that the server accepts from all instances
 	Limit     float64       // concurrent attempts allowed at the server; 0 is unlimited
 }
 
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -15,10 +15,12 @@
 	// errorFactor is the weight of the error rate in the score. It makes a server that
 	// refuses one in five attempts worse than an equal server in another zone.
 	errorFactor = 12.0
-	// The penalties put stalled, then limited, then ejected servers after all others.
+	// The penalties put stalled, then limited, then ejected servers after all others, and
+	// servers whose rate limit is used up last, by their delay in seconds.
 	stalledPenalty = 100.0
 	limitedPenalty = 1000.0
 	ejectedPenalty = 10000.0
+	ratePenalty    = 100000.0
 )
 
 // Choice is a chosen server with the state that decides how it may be used.
@@ -34,6 +36,9 @@
 	Slow       bool
 	AtCapacity bool // it runs as many attempts as its capacity
 	Ejected    bool // after consecutive failures, until the ejection ends
+	// RateDelay is how long an attempt has to wait for the rate limit that the server names,
+	// as far as this instance's share of it goes; 0 without a limit.
+	RateDelay time.Duration
 }
 
 // Choose returns the candidate with the lowest score that is not excluded, or false if
@@ -98,6 +103,13 @@
 		c.Ejected = true
 		c.Score += ejectedPenalty
 	}
+	if state.rate.limit != 0 {
+		share := t.sharing.RateShare(candidate.ID, candidate.Zone, state.rate.limit)
+		state.rate.refill(share, now)
+		if c.RateDelay = state.rate.delay(share); c.RateDelay > 0 {
+			c.Score += ratePenalty + c.RateDelay.Seconds()
+		}
+	}
 	return c, true
 }
 
--- a/pkg/replicas/notice.go
+++ b/pkg/replicas/notice.go
@@ -6,4 +6,7 @@
 type Notice struct {
 	// PauseFor is how long the server wants no requests from this instance.
 	PauseFor time.Duration
+	// RateLimit is the number of requests a second that the server accepts from all
+	// instances together; 0 is no limit.
+	RateLimit float64
 }
--- /dev/null
+++ b/pkg/replicas/ratelimit.go
@@ -0,0 +1,85 @@
+package replicas
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rateBurst is the time whose requests may be sent at once after idle time, if these
+	// are more than one.
+	rateBurst = 250 * time.Millisecond
+	// rateLimitExpiry is how long a limit holds that no reply has named again. It lets an
+	// instance without a share of the limit find out whether the server still has one.
+	rateLimitExpiry = 15 * time.Second
+	// noRateDelay is the delay of an instance that has no share of a limit.
+	noRateDelay = time.Duration(math.MaxInt64)
+)
+
+// RateSharing divides the requests a second that a server accepts among the instances.
+type RateSharing interface {
+	// RateShare returns this instance's requests a second at a server in a zone that
+	// accepts the given number from all instances. It may be 0.
+	RateShare(serverID, zone string, limit float64) float64
+}
+
+// rateLimit bounds the requests a second that this instance sends to a server that has named
+// a limit. It is a token bucket; reservations of later requests make the tokens negative.
+type rateLimit struct {
+	limit      float64   // requests a second that the server accepts from all instances; 0 is none
+	namedAt    time.Time // when a reply last named the limit
+	tokens     float64
+	refilledAt time.Time
+}
+
+// observe takes in the limit that a reply names, 0 if it names none. A reply to an attempt that
+// began before the limit was last named may be older and does not lift it.
+func (l *rateLimit) observe(limit float64, began, now time.Time) {
+	switch {
+	case limit > 0 && l.limit == 0:
+		*l = rateLimit{limit: limit, namedAt: now, refilledAt: now}
+	case limit > 0:
+		l.limit, l.namedAt = limit, now
+	case !began.Before(l.namedAt):
+		*l = rateLimit{}
+	}
+}
+
+// expire lifts a limit that has not been named for rateLimitExpiry.
+func (l *rateLimit) expire(now time.Time) {
+	if l.limit != 0 && now.Sub(l.namedAt) > rateLimitExpiry {
+		*l = rateLimit{}
+	}
+}
+
+// refill adds the tokens of the time since the last refill, at share requests a second.
+func (l *rateLimit) refill(share float64, now time.Time) {
+	l.tokens += share * max(now.Sub(l.refilledAt), 0).Seconds()
+	l.tokens = min(l.tokens, max(share*rateBurst.Seconds(), 1))
+	l.refilledAt = now
+}
+
+// delay returns how long the next request has to wait.
+func (l *rateLimit) delay(share float64) time.Duration {
+	switch {
+	case l.limit == 0 || l.tokens >= 1:
+		return 0
+	case share <= 0:
+		return noRateDelay
+	}
+	return time.Duration((1 - l.tokens) / share * float64(time.Second))
+}
+
+// take uses one token, or reserves a future one.
+func (l *rateLimit) take() {
+	if l.limit != 0 {
+		l.tokens--
+	}
+}
+
+// giveBack returns the token of a reservation that is not used.
+func (l *rateLimit) giveBack() {
+	if l.limit != 0 {
+		l.tokens++
+	}
+}
--- a/pkg/replicas/replicas_test.go
+++ b/pkg/replicas/replicas_test.go
@@ -31,7 +31,7 @@
 
 func newTestTracker() *testTracker {
 	b := &testTracker{now: time.Unix(1000, 0), local: serverIn("a", "here"), remote: serverIn("b", "there")}
-	b.Tracker = New("here", func(c Change) { b.changes = append(b.changes, c) })
+	b.Tracker = New("here", wholeLimit{}, func(c Change) { b.changes = append(b.changes, c) })
 	for range 50 {
 		b.call(b.local, typicalLatency, Answered)
 		b.call(b.remote, typicalLatency, Answered)
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -49,6 +49,7 @@
 	limit                concurrencyLimit
 	lastAttemptEnd       time.Time
 	misdirectedAt        time.Time // when another server last answered at the address
+	rate                 rateLimit
 	pausedUntil          time.Time // until then the server wants no requests from this instance
 }
 
@@ -57,6 +58,7 @@
 // age lets the estimates decay towards neutral and lifts an outdated limit.
 func (s *server) age(now time.Time) {
 	s.limit.expire(now)
+	s.rate.expire(now)
 	passed := now.Sub(s.decayedAt)
 	if passed <= 0 {
 		return
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -23,7 +23,8 @@
 // Tracker holds this instance's observations of backend servers and the typical latency
 // of each route. It is safe for concurrent use.
 type Tracker struct {
-	zone     string       // this instance's availability zone
+	zone     string // this instance's availability zone
+	sharing  RateSharing
 	onChange func(Change) // called without locks held
 
 	mu        sync.Mutex
@@ -34,8 +35,8 @@
 
 // New returns a tracker without observations for an instance in the zone. It calls
 // onChange for each health change of a server; onChange must not block.
-func New(zone string, observe func(Change)) *Tracker {
-	return &Tracker{zone: zone, onChange: observe, servers: make(map[string]*server), latencies: make(map[string]*latencyEstimate)}
+func New(zone string, sharing RateSharing, observe func(Change)) *Tracker {
+	return &Tracker{zone: zone, sharing: sharing, onChange: observe, servers: make(map[string]*server), latencies: make(map[string]*latencyEstimate)}
 }
 
 // Begin records that a request of the route is sent to a server. A reply after due is
@@ -44,11 +45,27 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.serverLocked(s.Key(), now)
+	state.rate.take()
 	a := &Attempt{tracker: t, server: state, target: s, route: route, began: now, due: due}
 	state.running = append(state.running, a)
 	return a
 }
 
+// Reserve reserves the next request that the rate limit of a server allows. Release gives the
+// reservation back, also before the reserved attempt begins.
+func (t *Tracker) Reserve(s *directory.Server, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serverLocked(s.Key(), now).rate.take()
+}
+
+// Release gives back a reservation.
+func (t *Tracker) Release(s *directory.Server, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serverLocked(s.Key(), now).rate.giveBack()
+}
+
 // TypicalLatency returns the estimated median reply time of a route. Known is false before the
 // first reply.
 func (t *Tracker) TypicalLatency(route string) (latency time.Duration, known bool) {
