Treat a backend server that says it leaves as one that drains

The instance read only the platform's list, so that it went on sending requests while the list did not say so, or while the instance did not reach the list.

Measured: without the call of MarkLeaving the new test of pkg/forward fails, 20 requests reach the server instead of 1.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -14,6 +14,10 @@
 // covers the delay of the platform's list.
 const lastResortShare = 0.5
 
+// statedLeavingTime is how long a server that has said that it leaves is remembered, at least
+// until its process has ended.
+const statedLeavingTime = 5 * time.Minute
+
 // Directory holds the listed backend servers, and those that left the list a short time
 // ago. It is safe for concurrent use.
 type Directory struct {
@@ -23,6 +27,9 @@
 	mu        sync.RWMutex
 	byID      map[string]*Server
 	byService map[string][]*Server // slices are shared with callers: replaced, never modified
+	// statedLeaving holds when servers said in a reply that they leave, by Server.Key. The
+	// platform's list may never say so, or this instance may not reach it.
+	statedLeaving map[string]time.Time
 }
 
 // New returns an empty directory. Drain is how long a backend server still accepts
@@ -33,6 +40,7 @@
 		now:            now,
 		byID:           make(map[string]*Server),
 		byService:      make(map[string][]*Server),
+		statedLeaving:  make(map[string]time.Time),
 	}
 }
 
@@ -56,11 +64,40 @@
 			next.LeavingSince = old.LeavingSince
 		}
 	}
+	if since, ok := d.statedLeaving[next.Key()]; ok {
+		next.State = membership.StateLeaving
+		next.LeavingSince = since
+	}
 	change := changeOf(old, next)
 	d.replaceLocked(old, next)
 	return change
 }
 
+// MarkLeaving records that a run of a server has said that it leaves. Whatever the platform's
+// list says, it is then used as one that drains.
+func (d *Directory) MarkLeaving(server *Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key, now := server.Key(), d.now()
+	if _, known := d.statedLeaving[key]; known {
+		return
+	}
+	for other, since := range d.statedLeaving {
+		if now.Sub(since) > statedLeavingTime {
+			delete(d.statedLeaving, other)
+		}
+	}
+	d.statedLeaving[key] = now
+	listed := d.byID[server.ID]
+	if listed == nil || listed.Key() != key || listed.Leaving() {
+		return
+	}
+	next := *listed
+	next.State = membership.StateLeaving
+	next.LeavingSince = now
+	d.replaceLocked(listed, &next)
+}
+
 // Remove marks a backend server as leaving because its entry is gone. The server stays
 // usable as a last resort for a while, since an entry can expire while its server works.
 func (d *Directory) Remove(id string) Change {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -102,3 +102,28 @@
 	assert.DeepEqual(t, ids(d.Servers("s")), []string{})
 	assert.DeepEqual(t, ids(d.Servers("t")), []string{"a"})
 }
+
+// Guards against using a server that has said itself that it leaves, while the platform's list
+// still calls it ready, has lost its entry, or shows the entry again.
+func TestServerThatSaysItLeavesIsNotUsedAgain(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entry("a", 1, membership.StateLive))
+	d.Put(entry("b", 1, membership.StateLive))
+	d.MarkLeaving(d.byID["a"])
+	assert.DeepEqual(t, ids(d.Servers("s")), []string{"b"})
+	assert.DeepEqual(t, ids(d.LastResort("s")), []string{"a"})
+	for _, change := range []func(){
+		func() { d.Put(entry("a", 1, membership.StateLive)) },
+		func() { d.Remove("a") },
+		func() { d.Sweep() },
+		func() { d.Put(entry("a", 1, membership.StateLive)) },
+		func() { d.Replace([]Entry{entry("a", 1, membership.StateLive), entry("b", 1, membership.StateLive)}) },
+	} {
+		d.now = d.now.Add(drain)
+		change()
+		assert.DeepEqual(t, ids(d.Servers("s")), []string{"b"})
+		assert.DeepEqual(t, ids(d.LastResort("s")), []string{})
+	}
+	d.Put(entry("a", 2, membership.StateLive)) // a new process of the server
+	assert.DeepEqual(t, ids(d.Servers("s")), []string{"a", "b"})
+}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -285,6 +285,9 @@
 	res.expired = r.route.Sharded() && reply != nil && !reply.success() && !reply.Misdirected && !now.Before(call.Until)
 	if reply != nil && !reply.Misdirected {
 		tracked.Observe(reply.Notice, now)
+		if reply.Notice.Leaving {
+			r.engine.directory.MarkLeaving(call.Server)
+		}
 	}
 	tracked.End(outcomeOf(&res, r.ctx.Err()), now)
 	deliver(r.ctx, r.results, res)
--- a/pkg/forward/notice_test.go
+++ b/pkg/forward/notice_test.go
@@ -81,3 +81,29 @@
 		}
 	})
 }
+
+// Guards against requests to a server that has said in a reply that it leaves, which this
+// instance does not learn from the platform's list.
+func TestServerThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		route := tb.shardedRoute(5, 1)
+		tb.setBehaviour("s00.a", tb.counted(func(ctx context.Context, call Call) (*Reply, error) {
+			reply, err := answersAfter(work)(ctx, call)
+			if reply != nil {
+				reply.Notice.Leaving = true
+			}
+			return reply, err
+		}))
+		for range 20 {
+			answer, _ := tb.ask(background, route)
+			assert.Equal(t, answer.Merged.Missing, 0)
+		}
+		reached := 0
+		for _, arrival := range tb.arrivals {
+			if arrival == "s00 s00.a" {
+				reached++
+			}
+		}
+		assert.Equal(t, reached, 1)
+	})
+}
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -41,6 +41,10 @@
 			a.server.pausedUntil = until
 		}
 	}
+	if notice.Leaving && !a.server.leaving {
+		a.server.leaving = true
+		kinds = append(kinds, ChangeLeaving)
+	}
 	before := a.server.rate.limit
 	a.server.rate.observe(notice.RateLimit, a.began, now)
 	switch after := a.server.rate.limit; {
--- a/pkg/replicas/change.go
+++ b/pkg/replicas/change.go
@@ -12,6 +12,7 @@
 	ChangeLimited     ChangeKind = "limited"       // attempts missed their due time
 	ChangeRateNamed   ChangeKind = "names a rate limit"
 	ChangeRateLifted  ChangeKind = "names no rate limit any more"
+	ChangeLeaving     ChangeKind = "says that it leaves"
 	ChangePaused      ChangeKind = "asks for a pause" // it wants no requests for a while
 	ChangeLimitLifted ChangeKind = "limit lifted"     // after fast replies, or when no attempt was late for a while
 )
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -49,6 +49,7 @@
 	limit                concurrencyLimit
 	lastAttemptEnd       time.Time
 	misdirectedAt        time.Time // when another server last answered at the address
+	leaving              bool      // the server has said that it leaves
 	rate                 rateLimit
 	pausedUntil          time.Time // until then the server wants no requests from this instance
 }
