Do not suspect requests that have succeeded lately

Cause: a verdict used only the losses. A success within 30 s now shields a request from losses that this instance sees or that others report. The set of successes of the crash guard is exported and used for both.

Measured: TestRequestThatSucceededLatelyIsNotSuspected needs the shield; without it the third loss quarantines the request, as TestConsecutiveLossesQuarantineForAWhile shows.

--- a/pkg/crashguard/guard.go
+++ b/pkg/crashguard/guard.go
@@ -16,7 +16,7 @@
 	losses       losses
 	suspects     map[uint64]*suspect
 	suspectOrder []uint64 // suspects by first crash; the first one is dropped at maxSuspects
-	successes    successSet
+	successes    SuccessSet
 	onReport     func(Report)
 }
 
@@ -26,7 +26,7 @@
 		inFlight:  newInFlightAttempts(),
 		losses:    newLosses(),
 		suspects:  make(map[uint64]*suspect),
-		successes: newSuccessSet(),
+		successes: NewSuccessSet(maxSuccessesPerGeneration),
 	}
 }
 
@@ -139,11 +139,11 @@
 func (g *Guard) possibleCausesLocked(onServer *serverAttempts, lost *loss) []uint64 {
 	anyNeverSucceeded := false
 	for fingerprint := range lost.running {
-		anyNeverSucceeded = anyNeverSucceeded || !g.successes.contains(fingerprint)
+		anyNeverSucceeded = anyNeverSucceeded || !g.successes.Contains(fingerprint)
 	}
 	var causes []uint64
 	for fingerprint := range onServer.running {
-		if anyNeverSucceeded != g.successes.contains(fingerprint) {
+		if anyNeverSucceeded != g.successes.Contains(fingerprint) {
 			causes = append(causes, fingerprint)
 		}
 	}
--- a/pkg/crashguard/successset.go
+++ b/pkg/crashguard/successset.go
@@ -2,40 +2,44 @@
 
 import "time"
 
-// successSet remembers when requests last succeeded, in two generations. When the
+// SuccessSet remembers when requests last succeeded, in two generations. When the
 // newer generation is full, it replaces the older one. This bounds the memory and
-// drops requests that are no longer sent.
-type successSet struct {
-	newer map[uint64]int64 // Unix time in ns of the last success
-	older map[uint64]int64
+// drops requests that are no longer sent. It is not safe for concurrent use.
+type SuccessSet struct {
+	generationSize int
+	newer          map[uint64]int64 // Unix time in ns of the last success, by fingerprint
+	older          map[uint64]int64
 }
 
-func newSuccessSet() successSet {
-	return successSet{newer: make(map[uint64]int64)}
+// NewSuccessSet returns an empty set that holds at most two generations of the
+// given number of requests.
+func NewSuccessSet(generationSize int) SuccessSet {
+	return SuccessSet{generationSize: generationSize, newer: make(map[uint64]int64)}
 }
 
-func (s *successSet) record(fingerprint uint64, now time.Time) {
+// Record records that the request has succeeded now.
+func (s *SuccessSet) Record(fingerprint uint64, now time.Time) {
 	s.recordAt(fingerprint, now.UnixNano())
 }
 
-func (s *successSet) recordAt(fingerprint uint64, at int64) {
-	if _, known := s.newer[fingerprint]; !known && len(s.newer) >= maxSuccessesPerGeneration {
+func (s *SuccessSet) recordAt(fingerprint uint64, at int64) {
+	if _, known := s.newer[fingerprint]; !known && len(s.newer) >= s.generationSize {
 		s.older = s.newer
 		s.newer = make(map[uint64]int64)
 	}
 	s.newer[fingerprint] = at
 }
 
-// contains reports whether the request has succeeded.
-func (s *successSet) contains(fingerprint uint64) bool {
-	_, ok := s.lastSuccess(fingerprint)
+// Contains reports whether the request has succeeded.
+func (s *SuccessSet) Contains(fingerprint uint64) bool {
+	_, ok := s.LastSuccess(fingerprint)
 	return ok
 }
 
-// lastSuccess returns the Unix time in ns at which the request last succeeded. It
+// LastSuccess returns the Unix time in ns at which the request last succeeded. It
 // moves the request to the newer generation, so that requests still in use are
 // not dropped.
-func (s *successSet) lastSuccess(fingerprint uint64) (at int64, ok bool) {
+func (s *SuccessSet) LastSuccess(fingerprint uint64) (at int64, ok bool) {
 	if at, ok = s.newer[fingerprint]; ok {
 		return at, true
 	}
@@ -45,8 +49,8 @@
 	return at, ok
 }
 
-// succeededSince reports whether the request has succeeded at t or later.
-func (s *successSet) succeededSince(fingerprint uint64, t time.Time) bool {
-	at, ok := s.lastSuccess(fingerprint)
+// SucceededSince reports whether the request has succeeded at t or later.
+func (s *SuccessSet) SucceededSince(fingerprint uint64, t time.Time) bool {
+	at, ok := s.LastSuccess(fingerprint)
 	return ok && at >= t.UnixNano()
 }
--- a/pkg/crashguard/suspicion.go
+++ b/pkg/crashguard/suspicion.go
@@ -62,10 +62,10 @@
 		return nil
 	}
 	lost.running[fingerprint] = struct{}{}
-	if !g.successes.succeededSince(fingerprint, c.at) {
+	if !g.successes.SucceededSince(fingerprint, c.at) {
 		g.addCrashLocked(fingerprint, c)
 	}
-	lastSuccess, succeeded := g.successes.lastSuccess(fingerprint)
+	lastSuccess, succeeded := g.successes.LastSuccess(fingerprint)
 	if !succeeded {
 		return nil
 	}
@@ -89,10 +89,10 @@
 func (g *Guard) MergeSuccess(fingerprint uint64, at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.successes.succeededSince(fingerprint, at) {
+	if g.successes.SucceededSince(fingerprint, at) {
 		return
 	}
-	g.successes.record(fingerprint, at)
+	g.successes.Record(fingerprint, at)
 	if s := g.suspects[fingerprint]; s != nil && !s.lastCrash().After(at) {
 		g.clearSuspectLocked(fingerprint)
 	}
@@ -102,7 +102,7 @@
 // the crash: the given request has succeeded before, and one that was in flight
 // on the server at the same time has not.
 func (g *Guard) causedByOtherRequestLocked(fingerprint uint64, c crash) bool {
-	if !g.successes.contains(fingerprint) {
+	if !g.successes.Contains(fingerprint) {
 		return false
 	}
 	for _, lost := range g.losses.history {
@@ -110,7 +110,7 @@
 			continue
 		}
 		for other := range lost.running {
-			if !g.successes.contains(other) {
+			if !g.successes.Contains(other) {
 				return true
 			}
 		}
@@ -123,7 +123,7 @@
 func (g *Guard) KnownToSucceed(fingerprint uint64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.activeSuspectLocked(fingerprint, now) == nil && g.successes.contains(fingerprint)
+	return g.activeSuspectLocked(fingerprint, now) == nil && g.successes.Contains(fingerprint)
 }
 
 // RecordSuccess records that the request has succeeded. An attempt that ends with
@@ -152,7 +152,7 @@
 // recordSuccessLocked returns the report that makes other instances drop the
 // suspicion, if the request was suspected.
 func (g *Guard) recordSuccessLocked(fingerprint uint64, now time.Time) []Report {
-	g.successes.record(fingerprint, now)
+	g.successes.Record(fingerprint, now)
 	s := g.suspects[fingerprint]
 	if s == nil {
 		return nil
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -47,7 +47,7 @@
 	case res.reply != nil:
 		c.engine.suspects.RecordAlive(res.server.Key(), res.started)
 		if res.reply.success() {
-			c.recordReply()
+			c.recordReply(now)
 		}
 	case res.err.ConnectionLost && !c.answered.Load():
 		c.engine.suspects.RecordLoss(c.fingerprint, suspects.Loss{Server: res.server.Key(), Began: res.started, Ended: now})
@@ -65,9 +65,9 @@
 }
 
 // recordReply clears the request, which a server has answered.
-func (c *crashSuspicion) recordReply() {
+func (c *crashSuspicion) recordReply(now time.Time) {
 	if !c.answered.Swap(true) {
-		c.engine.suspects.RecordReply(c.fingerprint)
+		c.engine.suspects.RecordReply(c.fingerprint, now)
 	}
 }
 
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -231,7 +231,7 @@
 
 func (r *activeRequest) handleParts(rc *relayCall, result *PartsResult) {
 	if len(result.Parts) > 0 {
-		r.crashes.recordReply()
+		r.crashes.recordReply(time.Now())
 	}
 	if result.Suspect != nil {
 		r.crashes.merge(*result.Suspect)
--- a/pkg/suspects/doc.go
+++ b/pkg/suspects/doc.go
@@ -3,8 +3,8 @@
 // A request is suspected when the connection to a server is lost while the server runs it.
 // Losses count one after the other: attempts that ran side by side count once, because one
 // fault may have ended their servers together. MaxLosses consecutive losses without any
-// reply quarantine the request for QuarantineTime. A reply to the request clears it, and a
-// server that soon answers another request has not crashed.
+// reply quarantine the request for QuarantineTime. A reply to the request clears it and shields
+// it for a while, and a server that soon answers another request has not crashed.
 //
 // Package crashguard serves requests that callers repeat with the same content and that
 // instances therefore know to succeed. Here almost every request is new, so a request is
--- a/pkg/suspects/limits.go
+++ b/pkg/suspects/limits.go
@@ -12,8 +12,15 @@
 	// run of the server within it shows that only a connection was lost.
 	restartTime = time.Second
 
+	// shieldTime is how long after a success a request is not suspected. Requests that many
+	// callers repeat fail during an outage of their servers like all others, and a quarantine
+	// would outlast the outage.
+	shieldTime = 30 * time.Second
+
 	// Bounds on memory. The oldest suspect is dropped first.
 	maxSuspects = 4096
+	// successGeneration is how many requests with a success are remembered, twice.
+	successGeneration = 2048
 	// maxLossesKept exceeds MaxLosses: reports may arrive out of order, so that a loss that
 	// does not count now may count later.
 	maxLossesKept = 8
--- a/pkg/suspects/tracker.go
+++ b/pkg/suspects/tracker.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
 )
 
 // Tracker holds the suspected requests of all instances as far as this instance knows
@@ -11,16 +13,22 @@
 type Tracker struct {
 	onChange func(Change) // called without locks held; must not block
 
-	mu       sync.Mutex
-	suspects map[uint64]*Suspect
-	order    []uint64            // fingerprints by the time at which they became suspects
-	lost     map[string][]uint64 // fingerprints of the suspects with a loss, by run of the server
+	mu        sync.Mutex
+	suspects  map[uint64]*Suspect
+	order     []uint64            // fingerprints by the time at which they became suspects
+	lost      map[string][]uint64 // fingerprints of the suspects with a loss, by run of the server
+	successes crashguard.SuccessSet
 }
 
 // NewTracker returns a tracker without suspects. It calls onChange for each loss that
 // changes a verdict.
 func NewTracker(onChange func(Change)) *Tracker {
-	return &Tracker{onChange: onChange, suspects: make(map[uint64]*Suspect), lost: make(map[string][]uint64)}
+	return &Tracker{
+		onChange:  onChange,
+		suspects:  make(map[uint64]*Suspect),
+		lost:      make(map[string][]uint64),
+		successes: crashguard.NewSuccessSet(successGeneration),
+	}
 }
 
 // Verdict returns how a request may be sent now.
@@ -67,6 +75,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, loss := range losses {
+		if t.successes.SucceededSince(fingerprint, loss.Ended.Add(-shieldTime)) {
+			continue
+		}
 		before := t.verdictLocked(fingerprint, loss.Ended)
 		s := t.suspects[fingerprint]
 		if s == nil {
@@ -98,10 +109,12 @@
 	return s
 }
 
-// RecordReply clears a request that a server has answered.
-func (t *Tracker) RecordReply(fingerprint uint64) {
+// RecordReply clears a request that a server has answered, also of losses that happen or are
+// reported within shieldTime from now.
+func (t *Tracker) RecordReply(fingerprint uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.successes.Record(fingerprint, now)
 	if t.suspects[fingerprint] != nil {
 		t.removeLocked(fingerprint)
 	}
--- a/pkg/suspects/tracker_test.go
+++ b/pkg/suspects/tracker_test.go
@@ -68,10 +68,28 @@
 // Guards against suspicion of a request that a server has answered.
 func TestReplyClearsTheRequest(t *testing.T) {
 	tracker := newTracker(lossAt("a", 0, 10))
-	tracker.RecordReply(request)
+	tracker.RecordReply(request, at(20))
 	assert.Assert(t, !tracker.Verdict(request, at(20)).Suspected())
 }
 
+// Guards against a quarantine of a request that many callers repeat, because an outage of its
+// servers ends several of its attempts one after the other, here or at other instances.
+func TestRequestThatSucceededLatelyIsNotSuspected(t *testing.T) {
+	tracker := newTracker()
+	tracker.RecordReply(request, at(0))
+	losses := []Loss{lossAt("a", 0, 10), lossAt("b", 10, 20), lossAt("c", 20, 30)}
+	for _, loss := range losses {
+		tracker.RecordLoss(request, loss)
+	}
+	assert.Assert(t, !tracker.Merge(Suspect{Fingerprint: request, Losses: losses}))
+	assert.Assert(t, !tracker.Verdict(request, at(40)).Suspected())
+	later := int(shieldTime.Milliseconds())
+	for n, server := range []string{"a", "b", "c"} {
+		tracker.RecordLoss(request, lossAt(server, later+10*n, later+10*n+10))
+	}
+	assert.Assert(t, tracker.Verdict(request, at(later+40)).Quarantined())
+}
+
 // Guards against taking the loss of a connection for the loss of its server, and against
 // taking a restarted server, or a reply that was already on its way, for one that stayed up.
 func TestServerThatAnswersSoonHasNotCrashed(t *testing.T) {
