Report a suspected request only when a server was lost under it

Each refusal of a quarantined request told all instances of the quarantine again, although it added nothing: with a caller that repeats ten times a second, ten rounds of messages. The log lines name the server's id, as all others do, instead of its run.

--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -127,3 +127,11 @@
 	d.Put(entry("a", 2, membership.StateLive)) // a new process of the server
 	assert.DeepEqual(t, ids(d.Servers("s")), []string{"a", "b"})
 }
+
+// Guards against log lines that name a run where operators look for a server.
+func TestIDOfKey(t *testing.T) {
+	for _, id := range []string{"i-1", "a/b", ""} {
+		server := Server{BackendServer: membership.BackendServer{ID: id, Address: "10.0.0.1:1"}, Started: 5}
+		assert.Equal(t, IDOfKey(server.Key()), id)
+	}
+}
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
@@ -26,3 +27,9 @@
 func (s *Server) Key() string {
 	return s.ID + "/" + strconv.FormatInt(s.Started, 36) + "/" + s.Address
 }
+
+// IDOfKey returns the ID of the server with the given Key, for logs.
+func IDOfKey(key string) string {
+	parts := strings.Split(key, "/")
+	return strings.Join(parts[:max(len(parts)-2, 1)], "/")
+}
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -15,6 +15,7 @@
 	engine      *Engine
 	fingerprint uint64
 	answered    atomic.Bool // a server has answered the request, so it does not crash servers
+	lost        atomic.Bool // a connection was lost under this request, here or at a relay
 	ended       atomic.Bool // the caller has its answer
 }
 
@@ -50,6 +51,7 @@
 			c.recordReply(now)
 		}
 	case res.err.ConnectionLost && !c.answered.Load():
+		c.lost.Store(true)
 		c.engine.suspects.RecordLoss(c.fingerprint, suspects.Loss{Server: res.server.Key(), Began: res.started, Ended: now})
 		if c.ended.Load() {
 			c.report(now)
@@ -60,6 +62,7 @@
 // merge takes in what a relay of the request knows.
 func (c *crashSuspicion) merge(reported suspects.Suspect) {
 	if !c.answered.Load() {
+		c.lost.Store(true)
 		c.engine.suspects.Merge(reported)
 	}
 }
@@ -71,8 +74,8 @@
 	}
 }
 
-// requestEnded tells the other instances if the request ends under suspicion: its caller may
-// repeat it at any of them. A relay leaves that to the instance that has the caller, which
+// requestEnded tells the other instances if the request ends under suspicion and has added to
+// it: its caller may repeat it at any of them. A relay leaves that to the instance that has the caller, which
 // knows whether other shards have answered.
 func (c *crashSuspicion) requestEnded() {
 	c.ended.Store(true)
@@ -80,6 +83,9 @@
 }
 
 func (c *crashSuspicion) report(now time.Time) {
+	if !c.lost.Load() {
+		return
+	}
 	if s := c.suspect(now); s != nil {
 		c.engine.onSuspect(*s)
 	}
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,7 @@
 	engine    *Engine
 	relays    map[string]Relay    // by zone
 	suspects  []*suspects.Tracker // of all instances
+	reports   atomic.Int32        // of suspects
 
 	mu       sync.Mutex
 	servers  map[string]behaviour // by id; a server without an entry answers after work
@@ -66,6 +68,7 @@
 		Sharing:          tb,
 		OnLatenessChange: tb.observe,
 		OnSuspect: func(s suspects.Suspect) {
+			tb.reports.Add(1)
 			for _, other := range tb.suspects {
 				other.Merge(s)
 			}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -170,7 +170,7 @@
 	if c.Verdict.Quarantined() {
 		level, message = slog.LevelWarn, "request quarantined for crashing backend servers"
 	}
-	r.logger.Log(context.Background(), level, message, "fingerprint", crashguard.FormatFingerprint(c.Fingerprint), "backend_server", c.Server,
+	r.logger.Log(context.Background(), level, message, "fingerprint", crashguard.FormatFingerprint(c.Fingerprint), "backend_server", directory.IDOfKey(c.Server),
 		"losses", c.Verdict.Losses, "until", c.Verdict.Until, "reported", c.Reported)
 }
 
