Let instances without a share of a low rate limit ask rarely

Cause: instances without a share let the limit expire after 15 s and all asked the server again, at about the same time, since the server had named its limit to all of them at once. They now divide a twentieth of the limit for such questions, so that their sum is bounded like all other shares, and a share has at least 1.25 requests a second, to leave room for it.

--- a/pkg/peering/ratesharing.go
+++ b/pkg/peering/ratesharing.go
@@ -13,12 +13,15 @@
 	// minSharedRate is the least number of requests a second that is worth a share of its
 	// own: with the one request that each instance may send after idle time, smaller shares
 	// would add up to far more than the limit.
-	minSharedRate = 1.0
+	minSharedRate = 1.25
+	// probeRateShare is the share of a limit for all instances that have no share of their own.
+	// They find out with it, after a long time, whether the server still names a limit.
+	probeRateShare = 0.05
 )
 
 // RateShare implements replicas.RateSharing. The instances of the server's zone share the limit
 // by their processor time. When the limit is small, some instances, chosen by hash, get equal
-// shares and the others none.
+// shares and the others next to nothing.
 func (m *Members) RateShare(serverID, zone string, limit float64) float64 {
 	v, self := m.view()
 	local := v.known[zone]
@@ -41,9 +44,6 @@
 		}
 		return rate * float64(max(self.Millicores, 1)) / float64(max(total, 1))
 	}
-	if sharers == 0 {
-		return 0
-	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b Member) int {
 		return cmp.Compare(relayWeight(serverID, b), relayWeight(serverID, a))
@@ -51,5 +51,5 @@
 	if slices.ContainsFunc(ranked[:sharers], func(member Member) bool { return member.ID == self.ID }) {
 		return rate / float64(sharers)
 	}
-	return 0
+	return probeRateShare * rate / float64(len(members)-sharers)
 }
--- a/pkg/replicas/ratelimit.go
+++ b/pkg/replicas/ratelimit.go
@@ -1,25 +1,19 @@
 package replicas
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// rateBurst is the time whose requests may be sent at once after idle time, if these
 	// are more than one.
 	rateBurst = 250 * time.Millisecond
-	// rateLimitExpiry is how long a limit holds that no reply has named again. It lets an
-	// instance without a share of the limit find out whether the server still has one.
-	rateLimitExpiry = 15 * time.Second
-	// noRateDelay is the delay of an instance that has no share of a limit.
-	noRateDelay = time.Duration(math.MaxInt64)
+	// maxRateDelay is the longest delay that is told apart; it exceeds the time of any request.
+	maxRateDelay = time.Hour
 )
 
 // RateSharing divides the requests a second that a server accepts among the instances.
 type RateSharing interface {
 	// RateShare returns this instance's requests a second at a server in a zone that
-	// accepts the given number from all instances. It may be 0.
+	// accepts the given number from all instances. It is positive but may be very low.
 	RateShare(serverID, zone string, limit float64) float64
 }
 
@@ -45,13 +39,6 @@
 	}
 }
 
-// expire lifts a limit that has not been named for rateLimitExpiry.
-func (l *rateLimit) expire(now time.Time) {
-	if l.limit != 0 && now.Sub(l.namedAt) > rateLimitExpiry {
-		*l = rateLimit{}
-	}
-}
-
 // refill adds the tokens of the time since the last refill, at share requests a second.
 func (l *rateLimit) refill(share float64, now time.Time) {
 	l.tokens += share * max(now.Sub(l.refilledAt), 0).Seconds()
@@ -61,13 +48,11 @@
 
 // delay returns how long the next request has to wait.
 func (l *rateLimit) delay(share float64) time.Duration {
-	switch {
-	case l.limit == 0 || l.tokens >= 1:
+	if l.limit == 0 || l.tokens >= 1 {
 		return 0
-	case share <= 0:
-		return noRateDelay
 	}
-	return time.Duration((1 - l.tokens) / share * float64(time.Second))
+	seconds := (1 - l.tokens) / share
+	return time.Duration(min(seconds, maxRateDelay.Seconds()) * float64(time.Second))
 }
 
 // take uses one token, or reserves a future one.
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -59,7 +59,6 @@
 // age lets the estimates decay towards neutral and lifts an outdated limit.
 func (s *server) age(now time.Time) {
 	s.limit.expire(now)
-	s.rate.expire(now)
 	passed := now.Sub(s.decayedAt)
 	if passed <= 0 {
 		return
