Let a server that answers refute its loss at all instances

Cause: an instance that saw the server answer dropped the loss, but the next message of another instance brought it back, and a caller refused at once was told to wait for ten minutes although the servers could still show that they were alive.

A refuted loss is kept and marked, and the mark travels with reports and exchanges. In the first second after the latest loss Retry-After is the rest of that second.

The test's bound on Retry-After holds as before from the end of that second on.

--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -112,6 +112,6 @@
 func (r *activeRequest) refuseCrashSuspect(verdict suspects.Verdict, now time.Time) *Answer {
 	answer := r.refuse(CrashSuspect, fmt.Sprintf("%d backend servers in a row were lost while they ran request %s",
 		verdict.Losses, crashguard.FormatFingerprint(r.crashes.fingerprint)))
-	answer.Refusal.RetryAfter = verdict.Until.Sub(now)
+	answer.Refusal.RetryAfter = verdict.RetryAfter(now)
 	return answer
 }
--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -152,7 +152,7 @@
 		Sender:   e.members.Self().toProto(0),
 		Digest:   digest,
 		AgesMs:   make([]uint32, len(ages)),
-		Suspects: e.suspects.quarantined(),
+		Suspects: e.suspects.shared(),
 	}
 	for i, age := range ages {
 		m.AgesMs[i] = toMilliseconds(age)
@@ -163,7 +163,7 @@
 // fullMessage returns all members that this instance knows. It asks for no members in
 // the reply.
 func (e *Exchanger) fullMessage() *peeringpb.ExchangeMessage {
-	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().toProto(0), Brief: true, Suspects: e.suspects.quarantined()}
+	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().toProto(0), Brief: true, Suspects: e.suspects.shared()}
 	members, ages := e.members.All()
 	for i, member := range members {
 		m.Members = append(m.Members, member.toProto(ages[i]))
--- a/pkg/peering/suspectreporter.go
+++ b/pkg/peering/suspectreporter.go
@@ -119,10 +119,10 @@
 	}
 }
 
-// quarantined returns the requests in quarantine for an exchange message.
-func (r *SuspectReporter) quarantined() []*peeringpb.Suspect {
+// shared returns the suspects for an exchange message.
+func (r *SuspectReporter) shared() []*peeringpb.Suspect {
 	now := r.members.now()
-	return suspectsToProto(r.tracker.Quarantined(now), now)
+	return suspectsToProto(r.tracker.Shared(now), now)
 }
 
 // merge takes in the suspects of a message. What another zone sends and is new is passed on
@@ -148,7 +148,12 @@
 func suspectToProto(s suspects.Suspect, now time.Time) *peeringpb.Suspect {
 	m := &peeringpb.Suspect{Fingerprint: s.Fingerprint}
 	for _, loss := range s.Losses {
-		m.Losses = append(m.Losses, &peeringpb.Loss{Server: loss.Server, BeganUs: toMicroseconds(now.Sub(loss.Began)), EndedUs: toMicroseconds(now.Sub(loss.Ended))})
+		m.Losses = append(m.Losses, &peeringpb.Loss{
+			Server:  loss.Server,
+			BeganUs: toMicroseconds(now.Sub(loss.Began)),
+			EndedUs: toMicroseconds(now.Sub(loss.Ended)),
+			Refuted: loss.Refuted,
+		})
 	}
 	return m
 }
@@ -157,9 +162,10 @@
 	s := suspects.Suspect{Fingerprint: m.GetFingerprint()}
 	for _, loss := range m.GetLosses() {
 		s.Losses = append(s.Losses, suspects.Loss{
-			Server: loss.GetServer(),
-			Began:  now.Add(-fromMicroseconds(loss.GetBeganUs())),
-			Ended:  now.Add(-fromMicroseconds(loss.GetEndedUs())),
+			Server:  loss.GetServer(),
+			Refuted: loss.GetRefuted(),
+			Began:   now.Add(-fromMicroseconds(loss.GetBeganUs())),
+			Ended:   now.Add(-fromMicroseconds(loss.GetEndedUs())),
 		})
 	}
 	return s
--- a/pkg/suspects/limits.go
+++ b/pkg/suspects/limits.go
@@ -24,6 +24,6 @@
 	// maxLossesKept exceeds MaxLosses: reports may arrive out of order, so that a loss that
 	// does not count now may count later.
 	maxLossesKept = 8
-	// maxShared is the number of quarantined requests that Quarantined returns.
+	// maxShared is the number of suspects that Shared returns.
 	maxShared = 64
 )
--- a/pkg/suspects/suspect.go
+++ b/pkg/suspects/suspect.go
@@ -15,6 +15,7 @@
 // Verdict states how a request may be sent.
 type Verdict struct {
 	Losses int       // consecutive losses; 0 for a request without suspicion
+	Latest time.Time // when the latest server was lost
 	Until  time.Time // end of the suspicion
 }
 
@@ -24,11 +25,31 @@
 // Quarantined reports whether the request may not be sent to any server.
 func (v Verdict) Quarantined() bool { return v.Losses >= MaxLosses }
 
+// refute marks the loss of a run of a server as refuted and reports whether that is new.
+func (s *Suspect) refute(server string, isRefuted func(Loss) bool) bool {
+	for i, loss := range s.Losses {
+		if loss.Server == server && !loss.Refuted && isRefuted(loss) {
+			s.Losses[i].Refuted = true
+			return true
+		}
+	}
+	return false
+}
+
+// RetryAfter returns when a request in quarantine may be tried again: soon as long as the
+// servers may still turn out to be alive, otherwise at the end of the quarantine.
+func (v Verdict) RetryAfter(now time.Time) time.Duration {
+	if settled := v.Latest.Add(restartTime); now.Before(settled) {
+		return settled.Sub(now)
+	}
+	return v.Until.Sub(now)
+}
+
 // add adds a loss, unless it is known: one run of a server is lost only once. Dropped is the
 // server of the loss that had to go for it, possibly the new one, or empty.
 func (s *Suspect) add(loss Loss) (added bool, dropped string) {
 	if slices.ContainsFunc(s.Losses, func(known Loss) bool { return known.Server == loss.Server }) {
-		return false, ""
+		return loss.Refuted && s.refute(loss.Server, func(Loss) bool { return true }), ""
 	}
 	s.Losses = append(s.Losses, loss)
 	slices.SortFunc(s.Losses, func(a, b Loss) int {
@@ -45,10 +66,10 @@
 // returns the server of that loss.
 func (s *Suspect) dropUncounted() string {
 	dropped := len(s.Losses) - 1
-	for counted := consecutive(s.Losses); dropped > 0 && slices.Contains(counted, dropped); {
+	for counted := consecutive(s.Losses); dropped >= 0 && slices.Contains(counted, dropped); {
 		dropped--
 	}
-	if dropped == 0 { // the first loss always counts
+	if dropped < 0 {
 		dropped = len(s.Losses) - 1
 	}
 	server := s.Losses[dropped].Server
@@ -61,7 +82,18 @@
 	return len(s.Losses) == 0 || !now.Before(s.until())
 }
 
-func (s *Suspect) until() time.Time { return s.Losses[len(s.Losses)-1].Ended.Add(QuarantineTime) }
+// widelyLost reports whether the losses would quarantine the request if none was refuted.
+func (s *Suspect) widelyLost() bool {
+	losses := slices.Clone(s.Losses)
+	for i := range losses {
+		losses[i].Refuted = false
+	}
+	return len(consecutive(losses)) >= MaxLosses
+}
+
+func (s *Suspect) latest() time.Time { return s.Losses[len(s.Losses)-1].Ended }
+
+func (s *Suspect) until() time.Time { return s.latest().Add(QuarantineTime) }
 
 func (s *Suspect) clone() Suspect {
 	return Suspect{Fingerprint: s.Fingerprint, Losses: slices.Clone(s.Losses)}
--- a/pkg/suspects/tracker.go
+++ b/pkg/suspects/tracker.go
@@ -47,7 +47,7 @@
 		t.removeLocked(fingerprint)
 		return Verdict{}
 	}
-	return Verdict{Losses: len(consecutive(s.Losses)), Until: s.until()}
+	return Verdict{Losses: len(consecutive(s.Losses)), Latest: s.latest(), Until: s.until()}
 }
 
 // RecordLoss records that a connection was lost under a request.
@@ -88,7 +88,9 @@
 			continue
 		}
 		added = true
-		t.lost[loss.Server] = append(t.lost[loss.Server], fingerprint)
+		if !slices.Contains(t.lost[loss.Server], fingerprint) {
+			t.lost[loss.Server] = append(t.lost[loss.Server], fingerprint)
+		}
 		if dropped != "" {
 			t.unlistLocked(dropped, fingerprint)
 		}
@@ -121,23 +123,15 @@
 }
 
 // RecordAlive records that a run of a server has answered an attempt that began at the
-// given time. Losses shortly before were of connections only and no longer count.
+// given time. It refutes losses shortly before: these were of connections only. They are kept,
+// so that a report of another instance does not bring them back.
 func (t *Tracker) RecordAlive(server string, began time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, fingerprint := range slices.Clone(t.lost[server]) {
-		s := t.suspects[fingerprint]
-		kept := slices.DeleteFunc(slices.Clone(s.Losses), func(loss Loss) bool {
-			return loss.Server == server && !began.Before(loss.Ended) && began.Sub(loss.Ended) < restartTime
+	for _, fingerprint := range t.lost[server] {
+		t.suspects[fingerprint].refute(server, func(loss Loss) bool {
+			return !began.Before(loss.Ended) && began.Sub(loss.Ended) < restartTime
 		})
-		if len(kept) == len(s.Losses) {
-			continue
-		}
-		s.Losses = kept
-		t.unlistLocked(server, fingerprint)
-		if len(kept) == 0 {
-			t.removeLocked(fingerprint)
-		}
 	}
 }
 
@@ -151,21 +145,21 @@
 	return t.suspects[fingerprint].clone(), true
 }
 
-// Quarantined returns the requests that became suspects last among those in quarantine, at
-// most maxShared of them.
-func (t *Tracker) Quarantined(now time.Time) []Suspect {
+// Shared returns what each instance has to know: the requests in quarantine, and those that
+// would be if no loss had been refuted, the latest suspects first, at most maxShared.
+func (t *Tracker) Shared(now time.Time) []Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var quarantined []Suspect
-	for _, fingerprint := range slices.Backward(slices.Clone(t.order)) {
-		if len(quarantined) == maxShared {
+	var shared []Suspect
+	for _, fingerprint := range slices.Backward(t.order) {
+		if len(shared) == maxShared {
 			break
 		}
-		if t.verdictLocked(fingerprint, now).Quarantined() {
-			quarantined = append(quarantined, t.suspects[fingerprint].clone())
+		if s := t.suspects[fingerprint]; !s.expired(now) && s.widelyLost() {
+			shared = append(shared, s.clone())
 		}
 	}
-	return quarantined
+	return shared
 }
 
 func (t *Tracker) removeLocked(fingerprint uint64) {
