--- a/pkg/forward/crashing_test.go
+++ b/pkg/forward/crashing_test.go
@@ -37,12 +37,22 @@
 	late      map[string]int // attempts that reached servers after learnTime, by request id
 }
 
-// newCrashScene returns a scene with several instances.
+// crashRoutes are the kinds of route that a crashing request may use.
+var crashRoutes = map[string]func(tb *testbed) *routing.Route{
+	"single":  func(tb *testbed) *routing.Route { return tb.wideRoute(6) },
+	"sharded": func(tb *testbed) *routing.Route { return tb.shardedRoute(20, 0.89) },
+}
+
+// newCrashScene returns a scene with several instances, in which the crashing request takes
+// down each server of the testbed.
 func newCrashScene(tb *testbed, instances int) *crashScene {
 	scene := &crashScene{testbed: tb, engines: []*Engine{tb.engine}, downUntil: map[string]time.Time{}, late: map[string]int{}}
 	for range instances - 1 {
 		scene.engines = append(scene.engines, tb.newEngine(localZone, tb))
 	}
+	for id := range tb.servers {
+		tb.setBehaviour(id, tb.counted(scene.crashable))
+	}
 	return scene
 }
 
@@ -90,19 +100,13 @@
 // Guards against a request that takes down one server after the other: each repeat has a new
 // id and arrives at another instance, so no instance alone sees all crashes.
 func TestRequestThatCrashesServersIsNotSentOn(t *testing.T) {
-	for name, makeRoute := range map[string]func(tb *testbed) *routing.Route{
-		"single":  func(tb *testbed) *routing.Route { return tb.wideRoute(6) },
-		"sharded": func(tb *testbed) *routing.Route { return tb.shardedRoute(20, 0.89) },
-	} {
+	for name, makeRoute := range crashRoutes {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				tb := newTestbed()
 				defer time.Sleep(time.Minute)
 				route := makeRoute(tb)
 				scene := newCrashScene(tb, 6)
-				for id := range tb.servers {
-					tb.servers[id] = tb.counted(scene.crashable)
-				}
 				for n := range 40 {
 					scene.send(route, n, crashingTarget)
 					time.Sleep(400 * time.Millisecond)
@@ -127,9 +131,6 @@
 		defer time.Sleep(time.Minute)
 		route := tb.shardedRoute(20, 0.89)
 		scene := newCrashScene(tb, 6)
-		for id := range tb.servers {
-			tb.servers[id] = tb.counted(scene.crashable)
-		}
 		for n := range 10 {
 			scene.send(route, n, crashingTarget)
 		}
@@ -142,19 +143,13 @@
 // Guards against a quarantine of requests that were in flight on the servers that another
 // request crashed: their callers repeat them, and they are served.
 func TestHarmlessRequestsBesideACrashingOneAreServed(t *testing.T) {
-	for name, makeRoute := range map[string]func(tb *testbed) *routing.Route{
-		"single":  func(tb *testbed) *routing.Route { return tb.wideRoute(6) },
-		"sharded": func(tb *testbed) *routing.Route { return tb.shardedRoute(20, 0.89) },
-	} {
+	for name, makeRoute := range crashRoutes {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				tb := newTestbed()
 				defer time.Sleep(time.Minute)
 				route := makeRoute(tb)
 				scene := newCrashScene(tb, 3)
-				for id := range tb.servers {
-					tb.servers[id] = tb.counted(scene.crashable)
-				}
 				var group sync.WaitGroup
 				for n := range 30 {
 					group.Go(func() {
@@ -192,9 +187,6 @@
 	simulate(t, func(t *testing.T, tb *testbed) {
 		route := tb.wideRoute(6)
 		scene := newCrashScene(tb, 1)
-		for id := range tb.servers {
-			tb.servers[id] = tb.counted(scene.crashable)
-		}
 		scene.send(route, 0, crashingTarget)
 		scene.send(route, 1, crashingTarget)
 		assert.Equal(t, len(scene.crashedAt), suspects.MaxLosses)
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -75,8 +75,8 @@
 }
 
 // requestEnded tells the other instances if the request ends under suspicion and has added to
-// it: its caller may repeat it at any of them. A relay leaves that to the instance that has the caller, which
-// knows whether other shards have answered.
+// it: its caller may repeat it at any of them. A relay leaves that to the instance that has the
+// caller, which knows whether other shards have answered.
 func (c *crashSuspicion) requestEnded() {
 	c.ended.Store(true)
 	c.report(time.Now())
--- a/pkg/peering/suspectreporter.go
+++ b/pkg/peering/suspectreporter.go
@@ -22,8 +22,8 @@
 // SuspectReporter tells the other instances about requests that may crash backend servers.
 // Reports go out at once, because a caller may repeat such a request at any instance: to all
 // instances of this availability zone and to the relays in other zones, which pass on what is
-// new to them within their zone. Requests in quarantine are also part of each exchange, for instances that start later or
-// that a report has not reached.
+// new to them within their zone. Requests in quarantine are also part of each exchange, for
+// instances that start later or that a report has not reached.
 type SuspectReporter struct {
 	members *Members
 	client  *Client
--- a/pkg/suspects/suspect.go
+++ b/pkg/suspects/suspect.go
@@ -12,19 +12,6 @@
 	Losses      []Loss // by the time of their ends
 }
 
-// Verdict states how a request may be sent.
-type Verdict struct {
-	Losses int       // consecutive losses; 0 for a request without suspicion
-	Latest time.Time // when the latest server was lost
-	Until  time.Time // end of the suspicion
-}
-
-// Suspected reports whether the request may be sent to one server at a time only.
-func (v Verdict) Suspected() bool { return v.Losses > 0 }
-
-// Quarantined reports whether the request may not be sent to any server.
-func (v Verdict) Quarantined() bool { return v.Losses >= MaxLosses }
-
 // refute marks the loss of a run of a server as refuted and reports whether that is new.
 func (s *Suspect) refute(server string, isRefuted func(Loss) bool) bool {
 	for i, loss := range s.Losses {
@@ -36,15 +23,6 @@
 	return false
 }
 
-// RetryAfter returns when a request in quarantine may be tried again: soon as long as the
-// servers may still turn out to be alive, otherwise at the end of the quarantine.
-func (v Verdict) RetryAfter(now time.Time) time.Duration {
-	if settled := v.Latest.Add(restartTime); now.Before(settled) {
-		return settled.Sub(now)
-	}
-	return v.Until.Sub(now)
-}
-
 // add adds a loss, unless it is known: one run of a server is lost only once. Dropped is the
 // server of the loss that had to go for it, possibly the new one, or empty.
 func (s *Suspect) add(loss Loss) (added bool, dropped string) {
