soak: end the callers of a failed seed, name how a process ended

A seed that failed before its end left its callers running. The processes of the next seeds have the same addresses, so that requests reached them that these seeds did not count: seed 937 reported 346 extra arrivals at a service, allowed 246, after seed 933 had failed; the logs of 937 hold 2,694 requests there instead of 980, starting with number 2,117 of a caller.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -34,6 +34,7 @@
 	required int
 	client   *http.Client
 	stop     chan struct{}
+	stopOnce sync.Once
 	running  sync.WaitGroup
 
 	mu       sync.Mutex
@@ -151,10 +152,15 @@
 	}
 }
 
+// end stops the callers and waits for them.
+func (c *callers) end() {
+	c.stopOnce.Do(func() { close(c.stop) })
+	c.running.Wait()
+}
+
 // finish stops the callers and judges what has run against what was promised.
 func (c *callers) finish(servers []*platformtest.Server) (problems []string, answers []answer) {
-	close(c.stop)
-	c.running.Wait()
+	c.end()
 	time.Sleep(2 * patience) // whatever was promised not to run must not run later either
 	runs := map[string]int{}
 	for _, s := range servers {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -167,7 +167,7 @@
 	deadline := time.Now().Add(recovery)
 	for _, p := range s.processes {
 		for !p.ready() {
-			assert.Assert(t, time.Now().Before(deadline), "%s is not ready", p.id)
+			assert.Assert(t, time.Now().Before(deadline), "%s is not ready; it ended by itself: %v", p.id, p.unexpectedEnds())
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
@@ -203,6 +203,9 @@
 	s := newSystem(t)
 	s.awaitReady(t)
 	c := newCallers(shards(), requiredShards)
+	// Callers of a seed that failed must not load the processes of the next one, which have
+	// the same addresses.
+	t.Cleanup(c.end)
 	for _, p := range s.processes {
 		for range 2 {
 			c.send(p.id, p.caller, rand.New(rand.NewPCG(random.Uint64(), 0)))
