Test that a reply clears a request at the engine too

The tests were checked against changed code, one mechanism removed at a time. Each of twelve removals failed a test, but for one: without the call that clears an answered request, all tests of pkg/forward passed, since only the tracker's own test covered it. The new test fails without the call (1 report instead of 0, single and sharded).

--- a/pkg/forward/crashing_test.go
+++ b/pkg/forward/crashing_test.go
@@ -206,3 +206,30 @@
 		assert.Assert(t, len(scene.crashedAt) > suspects.MaxLosses, "the quarantine has not ended")
 	})
 }
+
+// Guards against suspecting, here and at the other instances, a request that another server
+// has answered after a connection was lost under it.
+func TestRequestWithAReplyIsNotSuspected(t *testing.T) {
+	for name, makeRoute := range crashRoutes {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(t *testing.T, tb *testbed) {
+				route := makeRoute(tb)
+				lost := 0
+				for _, server := range []string{"one.0", "s00.a"} { // asked first
+					tb.setBehaviour(server, func(context.Context, Call) (*Reply, error) {
+						lost++
+						return nil, connectionLost()
+					})
+				}
+				for range 3 {
+					answer, _ := tb.ask(background, route)
+					assert.Assert(t, answer.Refusal == nil, "%+v", answer.Refusal)
+				}
+				assert.Assert(t, lost > 0)
+				assert.Equal(t, tb.reports.Load(), int32(0))
+				request := &Request{ID: "id", Method: "GET", Target: "/x/1"}
+				assert.Assert(t, !newCrashSuspicion(tb.engine, request).verdict(time.Now()).Suspected())
+			})
+		})
+	}
+}
