Count every record that a log writer leaves unwritten

TestQueueWriterBoundsOneWrite then read its output while the goroutine wrote. Now Close drops and counts what is left, no further write starts, and a failed write counts its records. The test waits for the goroutine and keeps its checks.

Ruled out: joining the goroutine in Close; a blocked output would hang the exit.

--- a/pkg/telemetry/loglimits_test.go
+++ b/pkg/telemetry/loglimits_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -45,13 +46,14 @@
 		_, _ = w.Write([]byte("record\n"))
 	}
 	w.Close()
+	<-w.done // on a slow machine Close gives up while a write is in progress
 	assert.Assert(t, output.largestBatch <= maxBatchRecords, "%d records in one write", output.largestBatch)
 	assert.Equal(t, int64(output.records)+w.Dropped(), int64(maxQueuedRecords))
 }
 
 // countingOutput counts records and the largest batch. Only the goroutine of the
-// QueueWriter writes to it, and the test reads its counts after Close. Each Write takes
-// 1 ms, so that records queue up meanwhile.
+// QueueWriter writes to it, and the test reads its counts after that has ended. Each Write
+// takes 1 ms, so that records queue up meanwhile.
 type countingOutput struct{ records, largestBatch int }
 
 func (o *countingOutput) Write(batch []byte) (int, error) {
@@ -62,6 +64,54 @@
 	return len(batch), nil
 }
 
+// Guards against records that are neither written nor counted as dropped, and against writes
+// that start after Close, when the output blocks for longer than Close waits.
+func TestQueueWriterCountsWhatCloseLeaves(t *testing.T) {
+	const records = 10 * maxBatchRecords
+	output := &countingBlockedOutput{entered: make(chan struct{}, records), release: make(chan struct{})}
+	w := NewQueueWriter(output)
+	_, _ = w.Write([]byte("record\n"))
+	<-output.entered
+	for range records - 1 {
+		_, _ = w.Write([]byte("record\n"))
+	}
+	w.Close()
+	assert.Equal(t, w.Dropped(), int64(records-1))
+	close(output.release)
+	<-w.done
+	assert.Equal(t, output.records, 1)
+	assert.Equal(t, w.Dropped(), int64(records-1))
+}
+
+// countingBlockedOutput reports and counts each Write and blocks it until release is closed.
+type countingBlockedOutput struct {
+	entered, release chan struct{}
+	records          int
+}
+
+func (o *countingBlockedOutput) Write(batch []byte) (int, error) {
+	o.entered <- struct{}{}
+	<-o.release
+	o.records += bytes.Count(batch, []byte("\n"))
+	return len(batch), nil
+}
+
+// Guards against a failed write that counts as fewer records than it held.
+func TestQueueWriterCountsRecordsOfFailedWrites(t *testing.T) {
+	const records = 3 * maxBatchRecords
+	w := NewQueueWriter(failingOutput{})
+	for range records {
+		_, _ = w.Write([]byte("record\n"))
+	}
+	w.Close()
+	<-w.done
+	assert.Equal(t, w.Dropped(), int64(records))
+}
+
+type failingOutput struct{}
+
+func (failingOutput) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
 // Guards against records that are lost or overwritten although the output keeps up. The
 // caller of Write reuses its buffer, as slog handlers do.
 func TestQueueWriterKeepsRecordsWhole(t *testing.T) {
--- a/pkg/telemetry/queuewriter.go
+++ b/pkg/telemetry/queuewriter.go
@@ -23,7 +23,9 @@
 	output  io.Writer
 	queue   chan []byte
 	dropped atomic.Int64
-	done    chan struct{}
+	done    chan struct{} // closed when the goroutine that writes has ended
+
+	abandoned atomic.Bool // Close has given up; no further write may start
 
 	mu     sync.RWMutex // keeps Write from sending on the queue once Close has closed it
 	closed bool
@@ -54,12 +56,13 @@
 	return len(record), nil
 }
 
-// Dropped returns the number of dropped records. A batch that the output failed to
-// write counts as one.
+// Dropped returns the number of records that were not written, including those of failed
+// writes.
 func (w *QueueWriter) Dropped() int64 { return w.dropped.Load() }
 
 // Close stops accepting records and waits until the queued records are written, for
-// flushTimeout at most.
+// flushTimeout at most. It then drops and counts those that are left. Only the write that
+// blocks the output may go on after Close; its records are counted if it fails.
 func (w *QueueWriter) Close() {
 	w.mu.Lock()
 	if !w.closed {
@@ -70,6 +73,10 @@
 	select {
 	case <-w.done:
 	case <-time.After(flushTimeout):
+		w.abandoned.Store(true)
+		for range w.queue {
+			w.dropped.Add(1)
+		}
 	}
 }
 
@@ -80,18 +87,28 @@
 	var batch []byte
 	for record := range w.queue {
 		batch = append(batch[:0], record...)
-		for batched, more := 1, true; more && batched < maxBatchRecords; batched++ {
+		records := 1
+		for more := true; more && records < maxBatchRecords; {
+			var next []byte
 			select {
-			case next, ok := <-w.queue:
-				batch = append(batch, next...)
-				more = ok
+			case next, more = <-w.queue:
 			default:
 				more = false
 			}
+			if more {
+				batch = append(batch, next...)
+				records++
+			}
 		}
-		if _, err := w.output.Write(batch); err != nil {
-			// The log itself has failed, so the failure is only counted.
-			w.dropped.Add(1)
+		if w.abandoned.Load() || !w.write(batch) {
+			w.dropped.Add(int64(records))
 		}
 	}
 }
+
+// write reports whether the output has taken the batch. The log itself has failed if it has
+// not, so there is nowhere to report the error.
+func (w *QueueWriter) write(batch []byte) bool {
+	_, err := w.output.Write(batch)
+	return err == nil
+}
