Keep handling SIGHUP while an instance stops

Cause: the relay removed its SIGHUP handler at SIGTERM and sycamoreliftd had none, so a changed settings file during a planned stop ended the process with requests in progress. Ruled out: a second SIGTERM, which was ignored already.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -59,6 +59,9 @@
 		fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
 	}
+	// Settings take effect at the next start. Without this a SIGHUP would end the process and
+	// cut off its requests.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := serve(ctx, loaded); err != nil {
--- a/pkg/relay/reload.go
+++ b/pkg/relay/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"reflect"
 	"slices"
 	"time"
@@ -15,7 +16,7 @@
 
 // Reload applies changes of the settings until ctx ends. It calls load at each signal
 // and at each interval. Seeds take effect at once, all other settings at the next start.
-func (r *Instance) Reload(ctx context.Context, load func() (*settings.Relay, error), signals <-chan struct{}) {
+func (r *Instance) Reload(ctx context.Context, load func() (*settings.Relay, error), signals <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
--- a/test/process/daemon_test.go
+++ b/test/process/daemon_test.go
@@ -82,9 +82,12 @@
 	return reply.StatusCode == http.StatusOK
 }
 
-// Shutdown asks the process to leave and waits for its end.
+// Shutdown asks the process to leave and waits for its end. It also sends SIGHUP, before and
+// while the process stops: that must not end the process early.
 func (d *daemon) Shutdown(ctx context.Context) error {
+	d.child.signal(syscall.SIGHUP)
 	d.child.signal(syscall.SIGTERM)
+	d.child.signal(syscall.SIGHUP)
 	select {
 	case <-d.child.exited:
 		return eris.Wrap(d.child.err, "daemon "+d.spec.ID)
