Confirm the table through the zone's reader

Cause: a request without a route needs a table that the store has confirmed within 1.5 s. Instances that follow a reader rarely have one, since their view is up to 3.7 s old, and each then read the table from the store: one call for each such request at each instance, whatever the size of the fleet. Now an instance asks its zone's reader, which asks the store once for all that wait and uses the result for a while; a standby reader and the store itself are the last resorts. The age travels with the reply, and a reader with an older table than the asker's is not believed. An instance counts its calls to the store by cause.

--- a/pkg/feed/fakes_test.go
+++ b/pkg/feed/fakes_test.go
@@ -25,6 +25,13 @@
 	down         bool
 	calls        int
 	lastRevision int64
+	tables       []tableWrite // oldest first
+}
+
+// tableWrite is a table that was published with writeTable.
+type tableWrite struct {
+	version int64
+	at      time.Time
 }
 
 func newFakeStore() *fakeStore {
@@ -41,6 +48,26 @@
 	s.cache.add([]Item{item}, item.Revision)
 }
 
+func (s *fakeStore) writeTable(version int64) {
+	s.write("table", strconv.FormatInt(version, 10))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tables = append(s.tables, tableWrite{version: version, at: time.Now()})
+}
+
+// tableVersionBefore returns the version of the newest table that writeTable had published at
+// a time, or 0.
+func (s *fakeStore) tableVersionBefore(at time.Time) (version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, written := range s.tables {
+		if written.at.Before(at) {
+			version = written.version
+		}
+	}
+	return version
+}
+
 // dropHistory discards all past changes, as the store does after a while.
 func (s *fakeStore) dropHistory() {
 	s.cache.mu.Lock()
@@ -197,3 +224,7 @@
 	}
 	return strings.Join(ids, " ")
 }
+
+func (p followedPeer) ConfirmTable(ctx context.Context, version int64) (TableReply, error) {
+	return p.followed.ConfirmTable(ctx, version), nil
+}
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
@@ -32,16 +30,12 @@
 	// peerPause is the pause between watches of other instances, which do not count
 	// against the store's limit, and before a call to another source.
 	peerPause = 20 * time.Millisecond
-	// readTimeout bounds a complete read of the items, and a read of the table.
+	// readTimeout bounds a complete read of the items.
 	readTimeout = 3 * time.Second
 	// initialBackoff and maxBackoff space the calls to a failing store: all calls count
 	// against the store's limit, including those that it refuses.
 	initialBackoff = 150 * time.Millisecond
 	maxBackoff     = 900 * time.Millisecond
-	// maxConfirmedAge is the age of the view up to which a request without a route is
-	// refused without asking the store. A table has 3 s to take effect; the remainder is
-	// for a reader between the store and this instance.
-	maxConfirmedAge = 1500 * time.Millisecond
 )
 
 // Follower keeps the table and the directory up to date. It is safe for concurrent use.
@@ -53,9 +47,10 @@
 	logger    *slog.Logger
 	cache     *watchCache
 
-	table        atomic.Pointer[routing.Table]
-	confirmed    atomic.Pointer[time.Time] // the store confirmed the view as of this time
-	confirmCalls singleflight.Group
+	table     atomic.Pointer[tableInForce]
+	confirmed confirmation // of the whole view
+	confirmer *tableConfirmer
+	calls     StoreCalls
 
 	mu        sync.Mutex // serializes changes of table, ready and storeLost
 	ready     chan struct{}
@@ -64,7 +59,7 @@
 
 // NewFollower returns a follower that has not read anything yet.
 func NewFollower(store Store, sources Sources, decoder Decoder, d *directory.Directory, logger *slog.Logger) *Follower {
-	return &Follower{
+	f := &Follower{
 		store:     store,
 		sources:   sources,
 		decoder:   decoder,
@@ -74,55 +69,74 @@
 		ready:     make(chan struct{}),
 		storeLost: make(chan struct{}),
 	}
+	f.confirmer = &tableConfirmer{
+		store:   store,
+		sources: sources,
+		logger:  logger,
+		calls:   &f.calls,
+		current: f.Table,
+		adopt:   func(item Item, origin string) { f.adoptTable(item, f.decoder.Decode(item).Table, origin) },
+		viewAge: f.Age,
+	}
+	return f
+}
+
+// tableInForce is a table with the item that it was published in.
+type tableInForce struct {
+	*routing.Table
+	item Item
 }
 
 // Table returns the newest known table, or nil before the first one.
-func (f *Follower) Table() *routing.Table { return f.table.Load() }
+func (f *Follower) Table() *routing.Table {
+	if t := f.table.Load(); t != nil {
+		return t.Table
+	}
+	return nil
+}
+
+// StoreCalls returns the numbers of calls to the store.
+func (f *Follower) StoreCalls() *StoreCalls { return &f.calls }
 
 // Ready returns a channel that is closed once the table and the list of backend servers
 // have been read.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
-// unconfirmedAge is the age of the view before its first confirmation.
-const unconfirmedAge = time.Hour
-
 // Age returns the time since the store last confirmed the view.
-func (f *Follower) Age() time.Duration {
-	if at := f.confirmed.Load(); at != nil {
-		return time.Since(*at)
-	}
-	return unconfirmedAge
-}
+func (f *Follower) Age() time.Duration { return f.confirmed.age() }
 
-// Confirm reads the table from the store unless the view was confirmed within
-// maxConfirmedAge. It returns the newest known table and whether that table is
-// confirmed.
+// Confirm returns the newest known table and whether the store has confirmed it within
+// maxConfirmedAge. If it has not, Confirm asks the zone's reader or the store.
 func (f *Follower) Confirm(ctx context.Context) (*routing.Table, bool) {
 	if f.Table() == nil {
 		return f.awaitReady(ctx)
 	}
-	if f.Age() < maxConfirmedAge {
+	if f.confirmer.age() < maxConfirmedAge {
 		return f.Table(), true
 	}
-	done := f.confirmCalls.DoChan("table", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTimeout)
-		defer cancel()
-		batch, err := f.store.ReadTable(ctx)
-		if err != nil {
-			f.logger.Warn("table not confirmed by the store", "error", err, "view_age_ms", f.Age().Milliseconds())
-			return nil, err
-		}
-		for _, item := range batch.Items {
-			f.adoptTable(f.decoder.Decode(item).Table, "confirmation")
-		}
-		return nil, nil
-	})
-	select {
-	case result := <-done:
-		return f.Table(), result.Err == nil
-	case <-ctx.Done():
-		return f.Table(), false
+	err := f.confirmer.byAnyone(ctx)
+	return f.Table(), err == nil && f.confirmer.age() < maxConfirmedAge
+}
+
+// ConfirmTable tells another instance, which has the table of the given version, what is known
+// of the newest one. It asks the store if need be, but no other instance, so that instances
+// that take each other for the reader do not wait for each other. If the store does not
+// answer, the reply shows it by its age.
+func (f *Follower) ConfirmTable(ctx context.Context, version int64) TableReply {
+	if f.Table() == nil {
+		return TableReply{Age: unconfirmedAge}
+	}
+	if f.confirmer.age() >= maxAgeForPeers {
+		_ = f.confirmer.byStore(ctx) // the reply's age shows a failure
 	}
+	// The age comes first: a table that arrives after it is at least as new.
+	reply := TableReply{Age: f.confirmer.age()}
+	current := f.table.Load()
+	reply.Version = current.Version()
+	if reply.Version > version {
+		reply.Item = &current.item
+	}
+	return reply
 }
 
 // awaitReady waits until this instance has read the table and the backend servers.
@@ -136,19 +150,8 @@
 	}
 }
 
-// advanceConfirmed moves the time as of which the view is confirmed. The time never goes
-// back.
-func (f *Follower) advanceConfirmed(at time.Time) {
-	for {
-		old := f.confirmed.Load()
-		if old != nil && !at.After(*old) || f.confirmed.CompareAndSwap(old, &at) {
-			return
-		}
-	}
-}
-
 // adoptTable puts a table in force unless a table of the same or a newer version is.
-func (f *Follower) adoptTable(table *routing.Table, origin string) {
+func (f *Follower) adoptTable(item Item, table *routing.Table, origin string) {
 	if table == nil {
 		return
 	}
@@ -158,7 +161,7 @@
 	if current != nil && table.Version() <= current.Version() {
 		return
 	}
-	f.table.Store(table)
+	f.table.Store(&tableInForce{Table: table, item: item})
 	var before int64
 	if current != nil {
 		before = current.Version()
@@ -183,11 +186,12 @@
 func (f *Follower) applyAll(b Batch, origin string) {
 	var entries []directory.Entry
 	var table *routing.Table
+	var tableItem Item
 	for _, item := range b.Items {
 		decoded := f.decoder.Decode(item)
 		f.logDecodeError(item, decoded)
 		if decoded.Table != nil {
-			table = decoded.Table
+			table, tableItem = decoded.Table, item
 		}
 		if decoded.Entry != nil {
 			entries = append(entries, *decoded.Entry)
@@ -197,7 +201,7 @@
 		f.logChange(change, b.Revision)
 	}
 	// The table comes last: requests that wait for it need the backend servers as well.
-	f.adoptTable(table, origin)
+	f.adoptTable(tableItem, table, origin)
 	staying, leaving := f.directory.Count()
 	f.logger.Info("store read", "origin", origin, "revision", b.Revision, "backend_servers", staying, "leaving", leaving)
 }
@@ -207,7 +211,7 @@
 	for _, item := range items {
 		decoded := f.decoder.Decode(item)
 		f.logDecodeError(item, decoded)
-		f.adoptTable(decoded.Table, origin)
+		f.adoptTable(item, decoded.Table, origin)
 		switch {
 		case decoded.ServerID == "":
 		case decoded.Entry == nil:
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -100,6 +100,9 @@
 }
 
 func (l *followLoop) fetch(ctx context.Context, source chosenSource) (Batch, error) {
+	if source.isStore {
+		l.follower.calls.countFetch(l.synced)
+	}
 	if !l.synced {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
@@ -118,11 +121,11 @@
 	if l.synced {
 		unseen := f.cache.unseen(batch)
 		f.applyChanges(unseen, source.id)
-		f.advanceConfirmed(confirmed)
+		f.confirmed.advance(confirmed)
 		f.cache.add(unseen, batch.Revision)
 	} else {
 		f.applyAll(batch, source.id)
-		f.advanceConfirmed(confirmed)
+		f.confirmed.advance(confirmed)
 		f.cache.replace(batch)
 	}
 	f.markReady()
--- a/pkg/feed/sources.go
+++ b/pkg/feed/sources.go
@@ -1,5 +1,7 @@
 package feed
 
+import "context"
+
 // Sources selects other instances that this instance follows in place of the store.
 type Sources interface {
 	// Reader returns the instance that reads the store for this availability zone, or nil
@@ -18,4 +20,7 @@
 type PeerSource interface {
 	Source
 	ID() string
+	// ConfirmTable asks the instance whether the table of the given version is the newest.
+	// The instance asks the store if its own view is not recent enough.
+	ConfirmTable(ctx context.Context, version int64) (TableReply, error)
 }
--- a/pkg/peering/client.go
+++ b/pkg/peering/client.go
@@ -81,6 +81,11 @@
 	return c.peer(address).Watch(ctx, m)
 }
 
+// ConfirmTable asks an instance whether a table is the newest one.
+func (c *Client) ConfirmTable(ctx context.Context, address string, m *peeringpb.ConfirmTableRequest) (*peeringpb.ConfirmTableReply, error) {
+	return c.peer(address).ConfirmTable(ctx, m)
+}
+
 // Parts asks an instance for parts of an answer. It calls accepted when the header of
 // the reply shows that the instance works on the call, and receive for each frame. The
 // error is nil when the final frame has arrived.
--- a/pkg/peering/server.go
+++ b/pkg/peering/server.go
@@ -51,6 +51,11 @@
 	return serveWatch(ctx, s.feed, m)
 }
 
+// ConfirmTable implements peeringpb.Peering.
+func (s *Server) ConfirmTable(ctx context.Context, m *peeringpb.ConfirmTableRequest) (*peeringpb.ConfirmTableReply, error) {
+	return serveConfirmTable(ctx, s.feed, m), nil
+}
+
 // handleParts answers a call for parts. It sends the header at once, so that the caller
 // knows within a round trip that this instance works on the call.
 func (s *Server) handleParts(w http.ResponseWriter, r *http.Request) {
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -115,15 +115,38 @@
 	}
 	b := feed.Batch{Revision: reply.GetRevision(), Age: fromMilliseconds(reply.GetAgeMs())}
 	for _, item := range reply.GetItems() {
-		b.Items = append(b.Items, feed.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved()})
+		b.Items = append(b.Items, itemFromProto(item))
 	}
 	return b, nil
 }
 
+func (p *peerSource) ConfirmTable(ctx context.Context, version int64) (feed.TableReply, error) {
+	reply, err := p.client.ConfirmTable(ctx, p.member.Address, &peeringpb.ConfirmTableRequest{Version: version})
+	p.members.RecordCall(p.member.ID, err == nil)
+	if err != nil {
+		return feed.TableReply{}, eris.Wrapf(err, "confirm table with instance %s", p.member.ID)
+	}
+	confirmed := feed.TableReply{Version: reply.GetVersion(), Age: fromMilliseconds(reply.GetAgeMs())}
+	if reply.GetItem() != nil {
+		item := itemFromProto(reply.GetItem())
+		confirmed.Item = &item
+	}
+	return confirmed, nil
+}
+
+func itemFromProto(m *peeringpb.Item) feed.Item {
+	return feed.Item{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Removed: m.GetRemoved()}
+}
+
+func itemToProto(item feed.Item) *peeringpb.Item {
+	return &peeringpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed}
+}
+
 // StoreView is what this instance knows of the store.
 type StoreView interface {
 	AllItems() (feed.Batch, bool)
 	ChangesAfter(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error)
+	ConfirmTable(ctx context.Context, version int64) feed.TableReply
 }
 
 // maxWatchWait bounds how long this instance holds a watch of another instance.
@@ -150,7 +173,18 @@
 	}
 	reply := &peeringpb.WatchReply{Revision: b.Revision, AgeMs: toMilliseconds(b.Age)}
 	for _, item := range b.Items {
-		reply.Items = append(reply.Items, &peeringpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed})
+		reply.Items = append(reply.Items, itemToProto(item))
 	}
 	return reply, nil
 }
+
+// serveConfirmTable confirms the table to another instance.
+func serveConfirmTable(ctx context.Context, f StoreView, m *peeringpb.ConfirmTableRequest) *peeringpb.ConfirmTableReply {
+	confirmed := f.ConfirmTable(ctx, m.GetVersion())
+	// Rounded up: the receiver must not take the table for more recently confirmed than it is.
+	reply := &peeringpb.ConfirmTableReply{Version: confirmed.Version, AgeMs: toMilliseconds(confirmed.Age + time.Millisecond)}
+	if confirmed.Item != nil {
+		reply.Item = itemToProto(*confirmed.Item)
+	}
+	return reply
+}
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -30,6 +30,14 @@
 	return s.batch, s.err
 }
 
+func (s stubFeed) ConfirmTable(_ context.Context, version int64) feed.TableReply {
+	reply := feed.TableReply{Version: s.batch.Revision, Age: s.batch.Age}
+	if len(s.batch.Items) > 0 && version < reply.Version {
+		reply.Item = &s.batch.Items[0]
+	}
+	return reply
+}
+
 // stubGatherer records the call and emits the given results.
 type stubGatherer struct {
 	call           *forward.PartsCall
@@ -156,6 +164,21 @@
 	assert.DeepEqual(t, got, batch)
 }
 
+// Guards against a table that is altered on its way, and against an age that shrinks: the
+// receiver would take the table for more recently confirmed than it is.
+func TestTableConfirmationTravelsUnchanged(t *testing.T) {
+	table := feed.Item{Key: "table", Value: []byte{0, 255}, Revision: 8}
+	batch := feed.Batch{Revision: 9, Age: 40*time.Millisecond + time.Microsecond, Items: []feed.Item{table}}
+	p := servePeer(t, stubFeed{batch: batch}, &stubGatherer{})
+	source := &peerSource{members: p.members, client: p.client, member: Member{ID: "served", Address: p.address}}
+	got, err := source.ConfirmTable(context.Background(), 8)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, feed.TableReply{Version: 9, Item: &table, Age: 41 * time.Millisecond})
+	got, err = source.ConfirmTable(context.Background(), 9)
+	assert.NilError(t, err)
+	assert.Assert(t, got.Item == nil)
+}
+
 // Guards against taking the reply of a reader without the history, or without any items
 // yet, for a reply without changes.
 func TestReaderWithoutHistory(t *testing.T) {
