Do not start from an old view while the store may give a new one

Cause: an instance that starts took the view of its zone's reader and was ready before it looked at the view's age. A reader that has lost the store then made a restarted instance use servers that had left, and a table that its previous run had replaced, until the store answered. Ruled out: two restarted instances that confirm each other; the age travels with each reply and only grows.

--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -113,6 +113,43 @@
 	})
 }
 
+// An instance starts again beside one that has lost the store, and takes its view from that
+// one. Guards against serving requests by the old view, with servers that have left meanwhile,
+// while the store would give a new one.
+func TestStartingInstanceDoesNotServeByAnOldView(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		lost := newFakeStore()
+		lost.write("table", "1")
+		lost.write("server/a", "live")
+		lost.write("server/b", "live")
+		reader := startFollower(ctx, lost, noPeers{})
+		<-reader.Ready()
+		lost.setDown(true)
+		store.write("server/a", "")
+		time.Sleep(time.Minute)
+		f := startFollower(ctx, store, onePeer{followed: reader})
+		<-f.Ready()
+		assert.Equal(t, usableServers(f), "b")
+		assert.Assert(t, f.Age() < maxPeerViewAge, "%v", f.Age())
+	})
+}
+
+// No instance reaches the store. Guards against an instance that never gets ready beside
+// others that have a view, although an old one.
+func TestStartingInstanceUsesAnOldViewWithoutTheStore(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		reader := startFollower(ctx, store, noPeers{})
+		<-reader.Ready()
+		store.setDown(true)
+		time.Sleep(time.Minute)
+		f := startFollower(ctx, store, onePeer{followed: reader})
+		began := time.Now()
+		<-f.Ready()
+		assert.Assert(t, time.Since(began) < propagationTime, "%v", time.Since(began))
+		assert.Equal(t, usableServers(f), "a b")
+	})
+}
+
 // Guards against flooding an unavailable store with calls.
 func TestCallsAreSpacedWhileTheStoreIsUnavailable(t *testing.T) {
 	simulate(t, func(ctx context.Context, store *fakeStore) {
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -59,9 +59,14 @@
 	if err != nil {
 		return l.handleFailure(err, source)
 	}
-	// A stale view can still hold changes that this instance lacks.
-	l.apply(batch, l.confirmationTime(batch, requestedAt, source), source)
-	if !source.isStore && batch.Age > maxPeerViewAge {
+	isStale := !source.isStore && batch.Age > maxPeerViewAge
+	if !isStale || l.synced || l.storeFailures > 0 {
+		// A stale view can still hold changes that this instance lacks. An instance that has
+		// no view yet takes a stale one only if it cannot reach the store either: such a view
+		// may be far behind the one that its previous run had.
+		l.apply(batch, l.confirmationTime(batch, requestedAt, source), source)
+	}
+	if isStale {
 		return l.handleFailure(&StaleViewError{Peer: source.id, Age: batch.Age}, source)
 	}
 	l.handleSuccess(source)
