Test that lapsed entries and broken relay replies cost no request

Guards for two of the reported failures: a backend server whose entry lapses for a while keeps its running requests, none is run again; the reply of another instance that breaks off before, between or within results, with a clean end or a reset, is no final result.

--- a/pkg/forward/single_test.go
+++ b/pkg/forward/single_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
@@ -169,3 +171,40 @@
 		assert.Equal(t, answer.Refusal.Reason, TimedOut)
 	})
 }
+
+// The entry of a server lapses while the server runs requests, since the server was slow to
+// report, and comes back. Guards against giving up these requests or running them again at
+// another server.
+func TestRequestsAtAServerWhoseEntryLapsesGoOn(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		const lapse, reply = 5 * time.Millisecond, 15 * time.Millisecond // too short for a hedge
+		single, sharded := tb.singleRoute(false), tb.shardedRoute(3, 1)
+		tb.warmUp(sharded)
+		entries := map[string]*directory.Server{}
+		for _, service := range append([]string{"one"}, sharded.Shards...) {
+			for _, server := range tb.directory.Servers(service) {
+				entries[server.ID] = server
+				tb.setBehaviour(server.ID, tb.counted(answersAfter(reply)))
+			}
+		}
+		go func() {
+			time.Sleep(lapse / 2)
+			for id := range entries {
+				tb.directory.Remove(id)
+			}
+			time.Sleep(lapse)
+			for _, server := range entries {
+				tb.directory.Put(directory.Entry{Server: server.BackendServer, Capacity: 2})
+			}
+		}()
+		var group sync.WaitGroup
+		for _, route := range []*routing.Route{single, sharded} {
+			group.Go(func() {
+				answer, _ := tb.ask(background, route)
+				assert.Check(t, answer.Refusal == nil, "%s: %+v", route.Name, answer.Refusal)
+			})
+		}
+		group.Wait()
+		assert.Equal(t, tb.arrivalCount(), 1+len(sharded.Shards))
+	})
+}
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -1,8 +1,11 @@
 package peering
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -140,6 +143,42 @@
 	assert.Assert(t, err != nil)
 }
 
+// An instance ends, or its connection does, between two results or within one. Guards against
+// taking the parts that have arrived for all of them.
+func TestReplyThatBreaksOffIsNoFinalResult(t *testing.T) {
+	g := &stubGatherer{results: []*forward.PartsResult{
+		{Parts: []forward.Part{{Index: 0, Proof: "p0", Body: []byte("own")}}},
+		{Final: true, Parts: []forward.Part{{Index: 1, Proof: "p1"}}},
+	}}
+	whole := servePeer(t, stubFeed{}, g)
+	response, err := http.Post("http://"+whole.address+partsPath, "", bytes.NewReader(nil))
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	stream, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	firstFrame := 1 + int(stream[0]) // a frame starts with its length
+	for name, length := range map[string]int{"before the first result": 0, "between results": firstFrame, "within a result": firstFrame + 2} {
+		for _, cleanEnd := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, ", clean end ", cleanEnd), func(t *testing.T) {
+				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(http.StatusOK)
+					_, _ = w.Write(stream[:length])
+					_ = http.NewResponseController(w).Flush()
+					if !cleanEnd {
+						panic(http.ErrAbortHandler)
+					}
+				}))
+				defer server.Close()
+				final := false
+				err := NewClient().Parts(context.Background(), server.Listener.Addr().String(), &peeringpb.PartsRequest{}, func() {},
+					func(reply *peeringpb.PartsReply) { final = final || reply.GetFinal() })
+				assert.Assert(t, err != nil)
+				assert.Assert(t, !final)
+			})
+		}
+	}
+}
+
 // Guards against treating an unreachable instance as one that works on the call.
 func TestUnreachableRelayFails(t *testing.T) {
 	members := NewMembers(memberIn("self", "z1"), time.Now, slog.New(slog.DiscardHandler))
