Let instances take turns at a store that does not answer

Now the pause between an instance's calls grows with the number of instances of its zone that do the same, and it asks other instances meanwhile. Readers and standby readers keep their pace, and so do zones of up to six. Ruled out: a longer backoff for all; the readers would notice the store's return late.

--- a/pkg/feed/fakes_test.go
+++ b/pkg/feed/fakes_test.go
@@ -160,6 +160,7 @@
 func (noPeers) Reader() PeerSource     { return nil }
 func (noPeers) Standby(int) PeerSource { return nil }
 func (noPeers) Any() PeerSource        { return nil }
+func (noPeers) StoreCallers() int      { return 1 }
 
 // onePeer makes an instance follow another one: always or, with onlyAsFallback, only
 // while the store fails.
@@ -176,6 +177,7 @@
 }
 
 func (onePeer) Standby(int) PeerSource { return nil }
+func (onePeer) StoreCallers() int      { return 1 }
 
 func (p onePeer) Any() PeerSource { return followedPeer(p) }
 
@@ -186,6 +188,14 @@
 	standby *Follower
 }
 
+// largeZone is a zone with many instances that follow the same reader.
+type largeZone struct {
+	readerWithStandby
+	instances int
+}
+
+func (z largeZone) StoreCallers() int { return z.instances }
+
 func (d readerWithStandby) Standby(failed int) PeerSource {
 	if failed > 0 {
 		return nil
--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -276,6 +276,35 @@
 	})
 }
 
+// The store refuses all calls for a while. Guards against calls that grow with the number of
+// instances of a zone, and against instances that do not notice soon that it is back.
+func TestCallsToAnUnavailableStoreDoNotGrowWithTheZone(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		const instances, outage = 100, 20 * time.Second
+		reader, standby := startFollower(ctx, store, noPeers{}), startFollower(ctx, store, noPeers{})
+		<-reader.Ready()
+		<-standby.Ready()
+		var followers []*Follower
+		for range instances {
+			f := startFollower(ctx, store, largeZone{readerWithStandby{onePeer{followed: reader}, standby}, instances})
+			<-f.Ready()
+			followers = append(followers, f)
+		}
+		before := store.callCount()
+		store.setDown(true)
+		time.Sleep(outage)
+		// The readers retry after 0.9 s at most, the others take turns.
+		allowed := int(outage/storeCallSpacing) + 2*int(outage/(maxBackoff/2))
+		assert.Assert(t, store.callCount()-before <= allowed, "%d calls, allowed %d", store.callCount()-before, allowed)
+		store.setDown(false)
+		store.write("table", "2")
+		time.Sleep(3 * time.Second)
+		for _, f := range followers {
+			assert.Equal(t, f.Table().Version(), int64(2))
+		}
+	})
+}
+
 // Guards against following a standby reader that has lost the store as well.
 func TestFailedStandbyIsAbandoned(t *testing.T) {
 	simulate(t, func(ctx context.Context, store *fakeStore) {
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -16,6 +16,9 @@
 	readerBackoff = 5 * time.Second
 	// standbyFailurePause is the mean pause after a call to a standby reader has failed.
 	standbyFailurePause = 600 * time.Millisecond
+	// storeCallSpacing is the least mean time between the calls of all instances of a zone to
+	// the store while it fails. 400 instances in 8 zones then make 160 calls a second.
+	storeCallSpacing = 50 * time.Millisecond
 	// maxReplyDelay bounds the transit time of the reply to a watch; a slow store takes
 	// 250 ms. Only a process that was paused receives a reply later, and its next watch
 	// corrects the age.
@@ -170,7 +173,7 @@
 	now := time.Now()
 	if source.isStore {
 		l.storeFailures++
-		l.storeRetryAt = now.Add(backoff(l.storeFailures))
+		l.storeRetryAt = now.Add(max(backoff(l.storeFailures), l.turnPause()))
 		f.setStoreLost(true)
 		return peerPause
 	}
@@ -184,9 +187,19 @@
 	// A short outage of the store makes the calls to all standby readers fail. If every
 	// instance then called the next standby reader or the store at once, it would only add
 	// to the load on the store.
+	if l.failedStandbys == 1 {
+		l.storeRetryAt = now.Add(l.turnPause())
+	}
 	return standbyFailurePause/2 + rand.N(standbyFailurePause)
 }
 
+// turnPause returns a random pause before a call to the store, so that the instances of the
+// zone take turns. Meanwhile this instance asks others, which may have reached the store.
+func (l *followLoop) turnPause() time.Duration {
+	mean := time.Duration(l.follower.sources.StoreCallers()) * storeCallSpacing
+	return mean/2 + rand.N(mean)
+}
+
 func (l *followLoop) handleSuccess(source chosenSource) {
 	if source.id != l.lastSource {
 		l.follower.logger.Info("source of the view changed", "origin", source.id, "before", l.lastSource, "revision", l.revision,
--- a/pkg/feed/sources.go
+++ b/pkg/feed/sources.go
@@ -12,6 +12,9 @@
 	// failed, gives a different instance. Standby returns nil when this instance has to
 	// read the store itself.
 	Standby(failed int) PeerSource
+	// StoreCallers returns how many instances of the zone read the store, like this one,
+	// while neither the reader nor a standby reader does. It is 1 for these themselves.
+	StoreCallers() int
 	// Any returns an arbitrary other instance, or nil when none is known.
 	Any() PeerSource
 }
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -54,16 +54,31 @@
 // Standby implements feed.Sources. The standby readers are the instances that rank right
 // after the reader.
 func (s *Sources) Standby(failed int) feed.PeerSource {
-	self := s.members.Self()
-	ranked := append(s.members.Usable(self.Zone), self)
-	slices.SortFunc(ranked, compareReaders)
-	ownRank := slices.IndexFunc(ranked, func(m Member) bool { return m.ID == self.ID })
+	ranked, ownRank := s.ranked()
 	if len(ranked) <= maxZoneWithoutStandby || failed >= min(maxStandbyReaders, ownRank-1) {
 		return nil
 	}
 	return s.source(ranked[1+failed])
 }
 
+// ranked returns the usable instances of the zone, this one included, in the order in which
+// they read the store, and the rank of this instance.
+func (s *Sources) ranked() (ranked []Member, ownRank int) {
+	self := s.members.Self()
+	ranked = append(s.members.Usable(self.Zone), self)
+	slices.SortFunc(ranked, compareReaders)
+	return ranked, slices.IndexFunc(ranked, func(m Member) bool { return m.ID == self.ID })
+}
+
+// StoreCallers implements feed.Sources.
+func (s *Sources) StoreCallers() int {
+	ranked, ownRank := s.ranked()
+	if ownRank <= maxStandbyReaders {
+		return 1
+	}
+	return len(ranked)
+}
+
 // Any implements feed.Sources. It chooses at random among the members of all zones,
 // since the store may refuse some instances and this one does not know which.
 func (s *Sources) Any() feed.PeerSource {
