Let instances without a view call the store at their own pace

Cause: the turns at an unavailable store also slowed instances that had just started and cannot serve anybody. Ruled out: shorter turns for all.

--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -305,6 +305,27 @@
 	})
 }
 
+// All instances of a zone start again while the store is unavailable. Guards against instances
+// that stay without a view for long after it is back, since they take turns.
+func TestInstancesWithoutAViewDoNotTakeTurns(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		const instances = 100
+		store.setDown(true)
+		reader, standby := startFollower(ctx, store, noPeers{}), startFollower(ctx, store, noPeers{})
+		var followers []*Follower
+		for range instances {
+			followers = append(followers, startFollower(ctx, store, largeZone{readerWithStandby{onePeer{followed: reader}, standby}, instances}))
+		}
+		time.Sleep(10 * time.Second)
+		store.setDown(false)
+		back := time.Now()
+		for _, f := range followers {
+			<-f.Ready()
+		}
+		assert.Assert(t, time.Since(back) <= maxBackoff+propagationTime, "%v", time.Since(back))
+	})
+}
+
 // Guards against following a standby reader that has lost the store as well.
 func TestFailedStandbyIsAbandoned(t *testing.T) {
 	simulate(t, func(ctx context.Context, store *fakeStore) {
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -194,8 +194,12 @@
 }
 
 // turnPause returns a random pause before a call to the store, so that the instances of the
-// zone take turns. Meanwhile this instance asks others, which may have reached the store.
+// zone take turns. Meanwhile this instance asks others, which may have reached the store. An
+// instance without a view cannot serve requests and does not wait for its turn.
 func (l *followLoop) turnPause() time.Duration {
+	if !l.synced {
+		return 0
+	}
 	mean := time.Duration(l.follower.sources.StoreCallers()) * storeCallSpacing
 	return mean/2 + rand.N(mean)
 }
