--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -121,10 +121,6 @@
 	return e.connections(accepted, server.Zone)
 }
 
-// HandsShardsOver reports whether this instance leaves the shards of its availability zone to
-// an instance with more processor time.
-func (e *Engine) HandsShardsOver() bool { return e.relays.Stronger() != nil }
-
 // services returns the services that a request on the route needs, one per shard request.
 func (e *Engine) services(route *routing.Route) []string {
 	if route.Sharded() {
--- a/pkg/relay/warmer.go
+++ b/pkg/relay/warmer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -10,7 +9,6 @@
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/feed"
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
-	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
 const (
@@ -50,16 +48,6 @@
 // String names the service in the supervisor's log.
 func (w *warmer) String() string { return "connection warmer" }
 
-// serversToWarm returns the servers that this instance sends first attempts to. An instance
-// that hands its shards over asks a shard's servers only in place of the other instance. Its
-// connections would count against the number that a server accepts and be used rarely.
-func serversToWarm(table *routing.Table, servers []*directory.Server, handsShardsOver bool) []*directory.Server {
-	return slices.DeleteFunc(slices.Clone(servers), func(server *directory.Server) bool {
-		_, known := table.Service(server.Service)
-		return !known || handsShardsOver && !table.HasSingleRoute(server.Service)
-	})
-}
-
 // warm makes one pass over the servers. Errors are ignored: the next pass tries an
 // unreachable server again, and a request that meets it reports it.
 func (w *warmer) warm(ctx context.Context) {
@@ -69,8 +57,11 @@
 	}
 	var group errgroup.Group
 	group.SetLimit(maxParallelDials)
-	for _, server := range serversToWarm(table, w.directory.ServersInZone(w.zone), w.engine.HandsShardsOver()) {
-		service, _ := table.Service(server.Service)
+	for _, server := range w.directory.ServersInZone(w.zone) {
+		service, ok := table.Service(server.Service)
+		if !ok {
+			continue
+		}
 		connections := w.engine.Connections(service.MaxConnections, server)
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -13,7 +13,6 @@
 	version  int64
 	byHost   map[string][]Route // longest prefix first
 	services map[string]Service
-	single   map[string]bool // services of routes that are not sharded
 	limits   Limits
 }
 
@@ -23,13 +22,9 @@
 		version:  version,
 		byHost:   make(map[string][]Route),
 		services: make(map[string]Service, len(services)),
-		single:   make(map[string]bool),
 		limits:   limits,
 	}
 	for _, route := range routes {
-		for _, weighted := range route.WeightedServices {
-			t.single[weighted.Service] = true
-		}
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
 	}
@@ -54,9 +49,6 @@
 	return service, ok
 }
 
-// HasSingleRoute reports whether a route that is not sharded names the service.
-func (t *Table) HasSingleRoute(service string) bool { return t.single[service] }
-
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	n := 0
