Do not take a reader of a slow store for one that does not answer

Cause: the call that confirms the table counted as failed when it took more than 300 ms, as it does while the store takes that long; after some of them the zone's reader was suspected, so that it lost its part as reader and relay though it works. The call now waits for 500 ms and a failure counts nothing. Measured: the new test fails with the failure recorded and passes without.

--- a/pkg/feed/tableconfirmer.go
+++ b/pkg/feed/tableconfirmer.go
@@ -19,9 +19,9 @@
 	// without asking the store. The rest of maxConfirmedAge lets them use the reply for a
 	// while.
 	maxAgeForPeers = maxConfirmedAge / 2
-	// peerConfirmTimeout bounds the call to an instance that reads the store. It exceeds
-	// the 250 ms of a slow store by little: callers wait.
-	peerConfirmTimeout = 300 * time.Millisecond
+	// peerConfirmTimeout bounds the call to an instance that reads the store. A slow store
+	// takes 250 to 300 ms.
+	peerConfirmTimeout = 500 * time.Millisecond
 	// storeConfirmTimeout bounds a read of the table.
 	storeConfirmTimeout = 3 * time.Second
 )
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -137,8 +137,8 @@
 
 func (p *peerSource) ConfirmTable(ctx context.Context, version int64) (feed.TableReply, error) {
 	reply, err := p.client.ConfirmTable(ctx, p.member.Address, &peeringpb.ConfirmTableRequest{Version: version})
-	p.members.RecordCall(p.member.ID, err == nil)
 	if err != nil {
+		// The instance may wait for a slow store, so that a failure says nothing about it.
 		return feed.TableReply{}, eris.Wrapf(err, "confirm table with instance %s", p.member.ID)
 	}
 	confirmed := feed.TableReply{Version: reply.GetVersion(), Age: fromMilliseconds(reply.GetAgeMs())}
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -218,6 +218,28 @@
 	assert.Assert(t, got.Item == nil)
 }
 
+// Guards against taking a reader that waits for a slow store for one that does not answer: it
+// would lose its part as a relay, and the zone would change its reader.
+func TestReaderOfASlowStoreIsNotSuspected(t *testing.T) {
+	p := servePeer(t, slowFeed{}, &stubGatherer{})
+	source := &peerSource{members: p.members, client: p.client, member: Member{ID: "served", Address: p.address}}
+	for range 2 * suspectAfterFailures {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+		_, err := source.ConfirmTable(ctx, 8)
+		cancel()
+		assert.Assert(t, err != nil)
+	}
+	assert.DeepEqual(t, usableIDs(p.members, "z2"), []string{"served"})
+}
+
+// slowFeed follows a store that does not answer in time.
+type slowFeed struct{ stubFeed }
+
+func (slowFeed) ConfirmTable(ctx context.Context, _ int64) feed.TableReply {
+	<-ctx.Done()
+	return feed.TableReply{}
+}
+
 // Guards against taking the reply of a reader without the history, or without any items
 // yet, for a reply without changes.
 func TestReaderWithoutHistory(t *testing.T) {
