--- a/review/platform/scene/main.go
+++ b/review/platform/scene/main.go
@@ -45,6 +45,7 @@
 var cases = map[string]func(*scene) (broken bool, err error){
 	"stop":    playStop,
 	"refused": playRefused,
+	"foreign": playForeign,
 }
 
 func main() {
--- a/review/platform/scene/scene.go
+++ b/review/platform/scene/scene.go
@@ -21,20 +21,16 @@
 }
 
 // deploy starts the store, the leafs of one service and one process per entry of zones, and
-// waits until all are ready. Route is the operator's route to the service.
-func (s *scene) deploy(relayZones, leafZones []string, service, route string, work func(operation string) time.Duration) error {
+// waits until all are ready. Routes are the operator's routes, in JSON.
+func (s *scene) deploy(relayZones, leafZones []string, service, routes string, work func(operation string) time.Duration) error {
 	s.store = platformtest.NewStore(pageSize)
 	for n, zone := range leafZones {
-		l, err := newLeaf(n+1, service, zone)
-		if err != nil {
+		if _, err := s.addLeaf(n+1, service, zone, work); err != nil {
 			return err
 		}
-		l.work = work
-		s.leafs = append(s.leafs, l)
-		s.store.Write(platformtest.PrefixServers+l.id, l.entry("ready"))
 	}
-	s.store.Write(platformtest.KeyTable, fmt.Sprintf(`{"version":7,"routes":[%s],"backends":[{"name":%q,"health_path":"/health","max_connections":42,"protocol":"h1","tls":false}],`+
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, route, service))
+	s.store.Write(platformtest.KeyTable, fmt.Sprintf(`{"version":7,"routes":[%s],"backends":[{"name":"fichas","health_path":"/health","max_connections":42,"protocol":"h1","tls":false},{"name":"avisos","health_path":"/health","max_connections":42,"protocol":"h1","tls":false}],`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, routes))
 	var seeds []string
 	for n, zone := range relayZones {
 		r, err := newRelay(n+1, zone)
@@ -64,6 +60,18 @@
 	return nil
 }
 
+// addLeaf starts a leaf, which registers itself in the store.
+func (s *scene) addLeaf(n int, service, zone string, work func(operation string) time.Duration) (*leaf, error) {
+	l, err := newLeaf(n, service, zone)
+	if err != nil {
+		return nil, err
+	}
+	l.work = work
+	s.leafs = append(s.leafs, l)
+	s.store.Write(platformtest.PrefixServers+l.id, l.entry("ready"))
+	return l, nil
+}
+
 // end ends everything that the case has started.
 func (s *scene) end() {
 	for _, r := range s.relays {
