--- a/review/platform/scene/leaf.go
+++ b/review/platform/scene/leaf.go
@@ -22,6 +22,9 @@
 	notRun              bool      // the leaf turned the request away and said so
 }
 
+// crashAfter is how long a request that crashes its leaf has been at work by then.
+const crashAfter = 50 * time.Millisecond
+
 // leaf is a server that keeps to PROTOCOL.md: slots and a queue, the time budget, the expected
 // instance, the limit on connections, and work that ends with its connection.
 type leaf struct {
@@ -29,7 +32,10 @@
 	slots, queue         int
 	maxConnections       int
 	work                 func(operation string) time.Duration
-	status               func(operation string) int // after the work
+	status               func(operation string) int  // after the work
+	crashes              func(operation string) bool // the request crashes the leaf; nil for none
+	onCrash              func(*leaf)
+	born                 time.Time
 	server               *http.Server
 	listener             net.Listener
 	slot                 chan struct{}
@@ -37,13 +43,12 @@
 	waiting, connections int
 	runs                 []*run
 	sequence             int
-	endedAt              time.Time
 }
 
 func newLeaf(n int, service, zone string) (*leaf, error) {
 	l := &leaf{
 		id: fmt.Sprintf("i-%s%d", service, n), service: service, zone: zone,
-		slots: 4, queue: 16, maxConnections: 42,
+		slots: 4, queue: 16, maxConnections: 42, born: time.Now(),
 		status: func(string) int { return http.StatusOK },
 	}
 	l.slot = make(chan struct{}, l.slots)
@@ -78,16 +83,16 @@
 // entry is what the leaf writes about itself.
 func (l *leaf) entry(state string) string {
 	l.sequence++
-	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":1700000000000}`,
-		l.service, l.listener.Addr().String(), l.zone, l.slots, state, l.sequence)
+	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
+		l.service, l.listener.Addr().String(), l.zone, l.slots, state, l.sequence, l.born.UnixMilli())
 }
 
 // close ends the leaf.
 func (l *leaf) close() {
 	l.mu.Lock()
-	l.endedAt = time.Now()
+	server := l.server
 	l.mu.Unlock()
-	_ = l.server.Close()
+	_ = server.Close()
 }
 
 // ServeHTTP implements http.Handler.
@@ -124,6 +129,11 @@
 	}
 	defer func() { <-l.slot }()
 	l.begin(this)
+	if l.crashes != nil && l.crashes(this.operation) {
+		time.Sleep(crashAfter)
+		l.onCrash(l)
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(l.work(this.operation)):
 		l.finish(this, l.status(this.operation))
--- a/review/platform/scene/main.go
+++ b/review/platform/scene/main.go
@@ -46,6 +46,7 @@
 	"stop":    playStop,
 	"refused": playRefused,
 	"foreign": playForeign,
+	"crash":   playCrash,
 }
 
 func main() {
