--- a/review/platform/scene/stop.go
+++ b/review/platform/scene/stop.go
@@ -20,7 +20,6 @@
 	afterStop    = 2 * time.Second
 	stopRoute    = `{"name":"r-booking","host":"` + host + `","prefix":"/booking/","route_type":"unsafe","timeout_ms":8000,"target_latency_ms":500,"priority":2,"backend":"fichas","max_attempts":2}`
 	lastOfGrace  = graceTime - graceTime/6
-	lossSlack    = 200 * time.Millisecond
 	windowOfStop = graceTime + time.Second
 )
 
