--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # deploy/system.toml, which builds the programs of the system.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-scene ./review/platform/scene
+go build -buildvcs=false -o target/review-scene ./review/platform/scene
--- a/review/platform/scene/crash.go
+++ b/review/platform/scene/crash.go
@@ -80,7 +80,7 @@
 		clients.Go(func() {
 			for k := 0; time.Now().Before(end); k++ {
 				operation := fmt.Sprintf("booking-%d-%d", n, k)
-				if a, ok := s.postOnce(s.relays[(n+k)%len(s.relays)], operation, fmt.Sprintf("%08x%04x", n+1, k)); ok {
+				if a, ok := s.postOnce(s.relays[(n+k)%len(s.relays)], operation, fmt.Sprintf("%08x%04x", n+1, k), crashBudget); ok {
 					keep(a)
 				}
 				time.Sleep(bystanderPause)
@@ -90,7 +90,7 @@
 	for wave := 0; s.trouble && wave < crashWaves; wave++ {
 		for p := range crashAtOnce {
 			clients.Go(func() {
-				if a, ok := s.postOnce(s.relays[(wave+p)%len(s.relays)], crashOperation, fmt.Sprintf("ffff%04x%04x", wave, p)); ok {
+				if a, ok := s.postOnce(s.relays[(wave+p)%len(s.relays)], crashOperation, fmt.Sprintf("ffff%04x%04x", wave, p), crashBudget); ok {
 					keep(a)
 				}
 			})
@@ -102,14 +102,14 @@
 }
 
 // postOnce sends an operation on a connection of its own. It returns false if there was none.
-func (s *scene) postOnce(r *relay, operation, id string) (attempt, bool) {
+func (s *scene) postOnce(r *relay, operation, id string, budget time.Duration) (attempt, bool) {
 	conn, err := connect(r)
 	if err != nil {
 		s.note("%s cannot be sent to %s: %v", id, r.id, err)
 		return attempt{}, false
 	}
 	defer conn.close()
-	return conn.post("/booking/"+operation, id, operation, crashBudget), true
+	return conn.post("/booking/"+operation, id, operation, budget), true
 }
 
 // judgeCrash applies BUDGET: a request that crashes the leafs that run it reaches leafs in more
--- a/review/platform/scene/leaf.go
+++ b/review/platform/scene/leaf.go
@@ -35,6 +35,8 @@
 	status               func(operation string) int  // after the work
 	crashes              func(operation string) bool // the request crashes the leaf; nil for none
 	onCrash              func(*leaf)
+	mute                 func(operation string) bool // the request gets no answer; nil for none
+	leavingAcked         time.Time
 	born                 time.Time
 	server               *http.Server
 	listener             net.Listener
@@ -134,6 +136,11 @@
 		l.onCrash(l)
 		panic(http.ErrAbortHandler)
 	}
+	if l.mute != nil && l.mute(this.operation) {
+		<-r.Context().Done()
+		l.finish(this, 0)
+		return
+	}
 	select {
 	case <-time.After(l.work(this.operation)):
 		l.finish(this, l.status(this.operation))
--- a/review/platform/scene/main.go
+++ b/review/platform/scene/main.go
@@ -47,6 +47,7 @@
 	"refused": playRefused,
 	"foreign": playForeign,
 	"crash":   playCrash,
+	"drain":   playDrain,
 }
 
 func main() {
