--- a/review/platform/scene/drain.go
+++ b/review/platform/scene/drain.go
@@ -12,25 +12,25 @@
 // The case drain: most leafs leave a part of their requests without an answer, and three of the
 // five are emptied and taken away meanwhile.
 const (
-	drainClients   = 24
-	drainPeriod    = time.Second // between two requests of a client
-	drainLength    = 18 * time.Second
-	drainBudget    = 8 * time.Second
-	minDrainWork   = 60 * time.Millisecond
-	maxDrainWork   = 180 * time.Millisecond
-	slowBegins     = 2 * time.Second
-	slowLasts      = 8 * time.Second
-	slowFactor     = 12 // the largest dose of srv_slow
-	muteBegins     = 2 * time.Second
-	muteLasts      = 9 * time.Second // with the shares below the largest dose of srv_grey
-	mutePerMille   = 600             // requests without an answer
-	drainFirst     = 8300 * time.Millisecond
-	drainGap       = 300 * time.Millisecond
-	leafEndsAfter  = drainTime + time.Second // a leaf serves drain_ms and a little longer
-	drainRoute     = `{"name":"r-booking","host":"` + host + `","prefix":"/booking/","route_type":"unsafe","timeout_ms":8000,"target_latency_ms":500,"priority":2,"backend":"fichas","max_attempts":2}`
-	drainedAtMost  = 3
-	mutedLeafs     = 4
-	perMilleFactor = 1000
+	drainClients  = 24
+	drainPeriod   = time.Second // between two requests of a client
+	drainLength   = 18 * time.Second
+	drainBudget   = 8 * time.Second
+	minDrainWork  = 60 * time.Millisecond
+	maxDrainWork  = 180 * time.Millisecond
+	slowBegins    = 2 * time.Second
+	slowLasts     = 8 * time.Second
+	slowFactor    = 12 // the largest dose of srv_slow
+	muteBegins    = 2 * time.Second
+	muteLasts     = 9 * time.Second // this and the shares are the largest dose of srv_grey
+	mutePerMille  = 600             // requests without an answer
+	drainFirst    = 8300 * time.Millisecond
+	drainGap      = 300 * time.Millisecond
+	leafEndsAfter = drainTime + time.Second // a leaf serves drain_ms and a little longer
+	drainRoute    = `{"name":"r-booking","host":"` + host + `","prefix":"/booking/","route_type":"unsafe","timeout_ms":8000,"target_latency_ms":500,"priority":2,"backend":"fichas","max_attempts":2}`
+	drainedAtMost = 3
+	mutedLeafs    = 4
+	perMille      = 1000
 )
 
 func playDrain(s *scene) (broken bool, err error) {
@@ -48,7 +48,7 @@
 	}
 	traffic = time.Now()
 	if s.trouble {
-		hash := spreadWork(0, perMilleFactor)
+		hash := spreadWork(0, perMille) // 0 to 999, evenly
 		for _, l := range s.leafs[:mutedLeafs] {
 			l.mute = func(operation string) bool {
 				since := time.Since(traffic)
