lifecycle: refuse late requests of a planned stop, answer those that are left

Cause: a stopping instance served what arrived for as long as anything was in flight and kept idle connections open, so under steady traffic its drain never became idle; then the listener closed all connections after 0.35 s. Nothing told handlers that the process ends. Ruled out: watches of other instances hold the drain for a second at most; requests refused in the state closed were all answered.

Change: after the load balancer's delay idle connections are closed and new requests refused as not run; what is left at the end is interrupted and answered. An attempt that waits for a connection has a run state, so that a refusal as not run is certain. The own protocol does the same in the second half of its drain timeout.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
+	"github.com/sycamorelift/sycamorelift/pkg/lifecycle"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
@@ -112,7 +114,11 @@
 		answer = r.decideAnswer(now)
 		return answer != nil
 	}
-	if !r.loop(ctx, done) {
+	switch {
+	case r.loop(ctx, done):
+	case errors.Is(context.Cause(ctx), lifecycle.ErrInterrupted):
+		answer = r.refuse(ShuttingDown, "")
+	default:
 		answer = &Answer{Refusal: &Refusal{Reason: CallerLeft}}
 	}
 	answer.Trace = r.finishTrace()
@@ -189,7 +195,7 @@
 // answer is decided.
 func (r *activeRequest) markNoLongerNeeded() {
 	for _, s := range r.shardRequests {
-		s.noLongerNeeded.Store(true)
+		s.withdrawUnsent()
 		r.dropReservation(s, time.Now())
 	}
 }
--- a/pkg/forward/backendclient.go
+++ b/pkg/forward/backendclient.go
@@ -20,9 +20,9 @@
 	// Until is the time at which the server may stop work, because a later reply is of
 	// no use.
 	Until time.Time
-	// Needed is called before the request is written, possibly after a wait for a
-	// connection. If it returns false, the attempt is not sent.
-	Needed func() bool
+	// Send is called once, right before the first byte of the request is written, possibly
+	// after a wait for a connection. If it returns false, nothing may be written.
+	Send func() bool
 }
 
 // BackendClient sends attempts to backend servers. It returns errors as *CallError. The context
--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -16,6 +16,9 @@
 	// noServerRetryAfter is the pause when no server is usable. Crashed servers are back
 	// after some seconds, but other instances may know a usable server earlier.
 	noServerRetryAfter = 400 * time.Millisecond
+	// ShutdownRetryAfter is the pause when this instance shuts down. It is short, since new
+	// connections already reach other instances.
+	ShutdownRetryAfter = 50 * time.Millisecond
 	// retryJitter is the largest random extension of a pause, as a share of it. It keeps
 	// callers that were refused together from returning together.
 	retryJitter = 0.5
@@ -145,14 +148,17 @@
 func (r *activeRequest) refuse(reason Reason, detail string) *Answer {
 	refusal := &Refusal{Reason: reason, NotRun: true, Detail: detail}
 	for _, s := range r.shardRequests {
-		if s.reply != nil || s.mayHaveRun || s.inFlight > 0 {
+		if s.mayHaveReachedServer() {
 			refusal.NotRun = false
 		}
 	}
 	if refusal.NotRun && reason != TimedOut {
 		pause := noServerRetryAfter
-		if reason == ServersRefused {
+		switch reason {
+		case ServersRefused:
 			pause = refusedRetryAfter
+		case ShuttingDown:
+			pause = ShutdownRetryAfter
 		}
 		refusal.RetryAfter = pause + time.Duration(rand.Float64()*retryJitter*float64(pause))
 	}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -7,6 +7,7 @@
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
+	"github.com/sycamorelift/sycamorelift/pkg/runstate"
 )
 
 // purpose is the reason for an attempt.
@@ -22,6 +23,7 @@
 type attemptResult struct {
 	shardIndex int
 	server     *directory.Server
+	runState   *runstate.State
 	started    time.Time
 	// expired is set when the server has stopped work on a part at the time that the
 	// call stated, after which the reply is of no use.
@@ -230,6 +232,8 @@
 	s.tried = append(s.tried, server.ID)
 	s.arrivals++
 	s.inFlight++
+	state := &runstate.State{}
+	s.sending = append(s.sending, state)
 	s.lastStarted = now
 	r.trace.Attempts++
 	r.refCount.Add(1)
@@ -244,10 +248,10 @@
 		Connections:   r.engine.connections(r.maxConnections(s.service), server.Zone),
 		NewConnection: !r.route.Repeatable,
 		Until:         until,
-		Needed:        func() bool { return !s.noLongerNeeded.Load() },
+		Send:          state.Send,
 	}
 	tracked := r.engine.tracker.Begin(server, r.route.Name, now, r.replyDue(due, now))
-	go r.attempt(s.index, call, tracked, now)
+	go r.attempt(attemptResult{shardIndex: s.index, server: server, runState: state, started: now}, call, tracked)
 }
 
 // replyDue returns when the tracker should expect the reply to an attempt that starts now.
@@ -271,12 +275,12 @@
 	return choice.Slow || choice.ExpectedLatency == 0 && !r.engine.budgetCoversRetries(s.service, now)
 }
 
-// attempt sends one attempt and delivers its result. It runs in its own goroutine and may
+// attempt sends one attempt and delivers its result, which holds the attempt so far. It runs in its own goroutine and may
 // continue after the request has its answer.
-func (r *activeRequest) attempt(shardIndex int, call Call, tracked *replicas.Attempt, started time.Time) {
+func (r *activeRequest) attempt(res attemptResult, call Call, tracked *replicas.Attempt) {
 	defer r.release()
 	reply, err := r.engine.client.Call(r.ctx, call)
-	res := attemptResult{shardIndex: shardIndex, server: call.Server, started: started, reply: reply}
+	res.reply = reply
 	if err != nil && !errors.As(err, &res.err) {
 		res.err = &CallError{Sent: true, Detail: "call to backend server failed", Cause: err}
 	}
--- a/pkg/forward/pooledclient.go
+++ b/pkg/forward/pooledclient.go
@@ -66,7 +66,7 @@
 		Method: call.Request.Method,
 		EncodeRequest: func() []byte {
 			left := time.Until(call.Until)
-			if left <= 0 || !call.Needed() {
+			if left <= 0 || !call.Send() {
 				return nil
 			}
 			return c.codec.EncodeCall(call.Request, call.Server, left)
--- a/pkg/forward/reason.go
+++ b/pkg/forward/reason.go
@@ -18,11 +18,12 @@
 	AnswerLost      Reason = "answer-lost"       // a server may have run the request, but no reply arrived
 	CallerLeft      Reason = "caller-left"       // the caller has closed its connection
 	CrashSuspect    Reason = "crash-suspect"     // backend servers were lost under the request one after the other
+	ShuttingDown    Reason = "shutting-down"     // this instance ends
 	ViewUnconfirmed Reason = "view-unconfirmed"  // no route matches, but the table may be out of date
 )
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
 	NoTable, NoRoute, BodyTooLarge, BadRequest, NoServer, RateLimited, ServersRefused, TooFewShards,
-	TimedOut, AnswerLost, CallerLeft, CrashSuspect, ViewUnconfirmed,
+	TimedOut, AnswerLost, CallerLeft, CrashSuspect, ShuttingDown, ViewUnconfirmed,
 }
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -249,7 +249,7 @@
 			continue
 		}
 		s.reply = &Reply{Proof: part.Proof, Body: part.Body}
-		s.noLongerNeeded.Store(true)
+		s.withdrawUnsent()
 		r.answeredShards++
 	}
 	if result.Final {
--- a/pkg/forward/results.go
+++ b/pkg/forward/results.go
@@ -9,13 +9,13 @@
 // and marks the shard as lost if there is none.
 func (r *activeRequest) handleResult(res attemptResult) {
 	s := r.shardRequests[res.shardIndex]
-	s.inFlight--
+	s.attemptEnded(res.runState)
 	if s.isComplete() {
 		return
 	}
 	if r.accepts(res.reply) {
 		s.reply = res.reply
-		s.noLongerNeeded.Store(true)
+		s.withdrawUnsent()
 		r.answeredShards++
 		return
 	}
--- a/pkg/forward/shardrequest.go
+++ b/pkg/forward/shardrequest.go
@@ -1,15 +1,16 @@
 package forward
 
 import (
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
+	"github.com/sycamorelift/sycamorelift/pkg/runstate"
 )
 
 // shardRequest is the state of what one service has to answer: a shard, or the whole
 // request on a route that is not sharded. Only the goroutine of the request uses its
-// fields, except noLongerNeeded.
+// fields.
 type shardRequest struct {
 	index           int
 	service         string
@@ -35,9 +36,33 @@
 	// reservation is set while an attempt waits for the rate limit of its server.
 	reservation *reservation
 	directOnly  bool // a relay has failed; the servers are asked directly from now on
-	// noLongerNeeded is set when no further reply is needed. Attempts that wait for a
-	// connection read it before they send.
-	noLongerNeeded atomic.Bool
+	// sending holds the run states of the attempts in progress at servers. Attempts may
+	// wait for a connection for long.
+	sending []*runstate.State
+}
+
+// withdrawUnsent prevents the attempts that have not been sent from being sent, and
+// returns their number.
+func (s *shardRequest) withdrawUnsent() int {
+	withdrawn := 0
+	for _, state := range s.sending {
+		if state.Refuse() {
+			withdrawn++
+		}
+	}
+	return withdrawn
+}
+
+// attemptEnded drops the run state of an attempt that is no longer in progress.
+func (s *shardRequest) attemptEnded(state *runstate.State) {
+	s.inFlight--
+	s.sending = slices.DeleteFunc(s.sending, func(other *runstate.State) bool { return other == state })
+}
+
+// mayHaveReachedServer reports whether a server may have run the request, or may yet run it.
+// Attempts that have not been sent are withdrawn first.
+func (s *shardRequest) mayHaveReachedServer() bool {
+	return s.reply != nil || s.mayHaveRun || s.inFlight > s.withdrawUnsent()
 }
 
 func (s *shardRequest) wasTried(id string) bool {
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -103,6 +103,9 @@
 	if act == nil {
 		act = answersAfter(work)
 	}
+	if !call.Send() {
+		return nil, &CallError{Detail: "no longer needed"}
+	}
 	return act(ctx, call)
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -44,14 +44,22 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	e := g.newExchange(r)
+	g.finish(w, r, &e, g.answer(r, &e))
+}
+
+// newExchange returns the exchange of a request that has just arrived.
+func (g *Gateway) newExchange(r *http.Request) exchange {
 	id, callerTimeout := g.codec.ReadRequestFields(r.Header)
-	e := exchange{ID: id, Method: r.Method, Path: r.URL.Path, Arrived: arrived, CallerTimeout: callerTimeout}
-	answer := g.answer(r, &e)
-	e.Status = g.write(w, id, answer)
+	return exchange{ID: id, Method: r.Method, Path: r.URL.Path, Arrived: time.Now(), CallerTimeout: callerTimeout}
+}
+
+// finish writes the answer to a request and records the exchange.
+func (g *Gateway) finish(w http.ResponseWriter, r *http.Request, e *exchange, answer *forward.Answer) {
+	e.Status = g.write(w, e.ID, answer)
 	e.Answer = answer
-	e.Took = time.Since(arrived)
-	g.recorder.record(r.Context(), &e)
+	e.Took = time.Since(e.Arrived)
+	g.recorder.record(r.Context(), e)
 }
 
 // answer returns the answer to a request and stores the table and the route that it
--- a/pkg/instance/run.go
+++ b/pkg/instance/run.go
@@ -18,18 +18,19 @@
 // errDoNotRestart ends a supervised service for good.
 var errDoNotRestart = suture.ErrDoNotRestart
 
-// Bounds of the supervisor and of the end of a shutdown.
-const (
-	supervisorStop = 5 * time.Second
-	listenerStop   = 10 * time.Second
-)
+// supervisorStop bounds the stop of the supervised services.
+const supervisorStop = 5 * time.Second
 
 func (i *Instance) buildServers(context.Context) error {
 	i.lifecycle = lifecycle.New(lifecycle.Config{
 		LoadBalancerDelay: i.settings.Shutdown.LoadBalancerDelay,
-		DrainTimeout:      i.settings.Shutdown.DrainTimeout,
-		LiveTickets:       i.ledger.LiveTickets,
-		OnDraining:        i.announceDrain,
+		// The second half of the drain timeout is for the requests in progress and for
+		// tickets, which other instances redeem here.
+		AcceptTimeout: i.settings.Shutdown.LoadBalancerDelay + i.settings.Shutdown.DrainTimeout/2,
+		OnRefusing:    i.closeIdleConnections,
+		DrainTimeout:  i.settings.Shutdown.DrainTimeout,
+		LiveTickets:   i.ledger.LiveTickets,
+		OnDraining:    i.announceDrain,
 	})
 	callerTLS, err := serverTLS(i.settings.TLS.Caller)
 	if err != nil {
@@ -43,7 +44,7 @@
 	return errors.Join(
 		i.addListener("operator", i.settings.Listen.Operator, i.options.OperatorListener, nil, i.operatorHandler()),
 		i.addListener("peer", i.settings.Listen.Peer, i.options.PeerListener, peerTLS, i.lifecycle.PeerHandler(peerHandler)),
-		i.addListener("caller", i.settings.Listen.Caller, i.options.CallerListener, callerTLS, i.lifecycle.Handler(i.entry.Handler())),
+		i.addListener(callerListener, i.settings.Listen.Caller, i.options.CallerListener, callerTLS, i.lifecycle.Handler(i.entry.Handler())),
 	)
 }
 
@@ -52,6 +53,9 @@
 	if err != nil {
 		return err
 	}
+	if name == callerListener {
+		l.server.BaseContext = i.lifecycle.BaseContext
+	}
 	i.servers = append(i.servers, l)
 	return nil
 }
@@ -97,17 +101,12 @@
 	i.logger.Warn("supervisor event", "event", event.String())
 }
 
-// Shutdown drains the instance and stops it. Requests in progress are answered
-// first; the error tells what was left when the drain timeout passed.
+// Shutdown drains the instance and stops it. Requests in progress are served first, and
+// those of callers that take too long are interrupted and answered; the error tells what
+// was left when the drain timeout passed.
 func (i *Instance) Shutdown(ctx context.Context) error {
 	err := i.lifecycle.Drain(ctx)
-	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), listenerStop)
-	defer cancel()
-	for _, l := range i.servers {
-		if l.name != "operator" {
-			err = errors.Join(err, l.shutdown(stopping))
-		}
-	}
+	err = errors.Join(err, stopListeners(context.WithoutCancel(ctx), i.drainedListeners(), listenerStop, answerTime, i.lifecycle.Interrupt))
 	i.Kill()
 	return err
 }
--- a/pkg/lifecycle/drain.go
+++ b/pkg/lifecycle/drain.go
@@ -14,7 +14,7 @@
 
 // Drain stops the service. Readiness fails at once, but requests are still served
 // for the load balancer's delay and then until none is in flight and no ticket is
-// live. The state is Closed when Drain returns. Drain returns a *DrainError if the
+// live; after the accept timeout new ones are refused. The state is Closed when Drain returns. Drain returns a *DrainError if the
 // drain timeout passes or ctx ends before that. Later calls wait for the first
 // one and return its result.
 func (l *Lifecycle) Drain(ctx context.Context) error {
@@ -41,6 +41,10 @@
 }
 
 func (l *Lifecycle) waitAndClose(ctx context.Context) error {
+	if l.config.AcceptTimeout > 0 {
+		refuse := time.AfterFunc(l.config.AcceptTimeout, l.beginRefusing)
+		defer refuse.Stop()
+	}
 	if !sleep(ctx, l.config.LoadBalancerDelay) {
 		return l.forceClose()
 	}
--- a/pkg/lifecycle/lifecycle.go
+++ b/pkg/lifecycle/lifecycle.go
@@ -1,11 +1,22 @@
 package lifecycle
 
-import "sync"
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// ErrInterrupted is the cause with which Interrupt cancels the contexts of requests.
+var ErrInterrupted = errors.New("the instance shuts down")
 
 // Lifecycle holds the state of an instance and counts its requests in flight. It
 // is safe for concurrent use.
 type Lifecycle struct {
-	config Config
+	config    Config
+	base      context.Context // parent of the contexts of callers' requests
+	interrupt context.CancelCauseFunc
 
 	mu         sync.Mutex // guards everything below
 	state      State
@@ -22,9 +33,26 @@
 	if config.OnDraining == nil {
 		config.OnDraining = func() {}
 	}
-	return &Lifecycle{config: config, becameIdle: make(chan struct{}, 1)}
+	if config.OnRefusing == nil {
+		config.OnRefusing = func() {}
+	}
+	if config.Refuse == nil {
+		config.Refuse = http.HandlerFunc(writeRefusal)
+	}
+	l := &Lifecycle{config: config, becameIdle: make(chan struct{}, 1)}
+	l.base, l.interrupt = context.WithCancelCause(context.Background())
+	return l
 }
 
+// BaseContext is the http.Server.BaseContext hook of the listener of callers. Its
+// context is cancelled by Interrupt.
+func (l *Lifecycle) BaseContext(net.Listener) context.Context { return l.base }
+
+// Interrupt cancels the contexts of all requests whose listener uses BaseContext, with
+// the cause ErrInterrupted, so that their handlers answer before the process ends. It
+// is called after Drain.
+func (l *Lifecycle) Interrupt() { l.interrupt(ErrInterrupted) }
+
 // SetReady moves the instance from Starting to Ready. It has no effect in any
 // other state, so an instance that drains while it starts does not become ready.
 func (l *Lifecycle) SetReady() {
@@ -54,12 +82,12 @@
 	return l.inFlight
 }
 
-// beginRequest counts a request as in flight. It returns false when the instance
-// is closed.
-func (l *Lifecycle) beginRequest() (State, bool) {
+// beginRequest counts a request as in flight. It returns false when the state is
+// refusedFrom or later.
+func (l *Lifecycle) beginRequest(refusedFrom State) (State, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.state == Closed {
+	if l.state >= refusedFrom {
 		return l.state, false
 	}
 	l.inFlight++
@@ -79,6 +107,19 @@
 	}
 }
 
+// beginRefusing ends the acceptance of callers' requests.
+func (l *Lifecycle) beginRefusing() {
+	l.mu.Lock()
+	begins := l.state == Draining
+	if begins {
+		l.state = Refusing
+	}
+	l.mu.Unlock()
+	if begins {
+		l.config.OnRefusing()
+	}
+}
+
 // closeIfIdle closes the instance if no request is in flight and no ticket is
 // live. The check and the change of state are atomic: a concurrent request either
 // prevents the change or is refused.
--- a/pkg/lifecycle/lifecycle_test.go
+++ b/pkg/lifecycle/lifecycle_test.go
@@ -151,3 +151,50 @@
 		assert.Assert(t, strings.Contains(recorder.Body.String(), run), "%s: %s", path, recorder.Body.String())
 	}
 }
+
+// Guards against a drain that accepts callers' requests until it ends and then interrupts
+// them: after the accept timeout they must be refused, while requests in flight and those
+// of other instances are served.
+func TestDrainRefusesAfterAcceptTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refusing := 0
+		l := New(Config{LoadBalancerDelay: 2 * time.Second, AcceptTimeout: 3 * time.Second, DrainTimeout: time.Minute, OnRefusing: func() { refusing++ },
+			Refuse: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })})
+		l.SetReady()
+		release := make(chan struct{})
+		inFlight := make(chan int, 1)
+		go func() {
+			inFlight <- serveGet(l.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))).Code
+		}()
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- l.Drain(context.Background()) }()
+		served := l.Handler(http.NotFoundHandler())
+		time.Sleep(2900 * time.Millisecond)
+		assert.Equal(t, serveGet(served).Code, http.StatusNotFound)
+		assert.Equal(t, refusing, 0)
+		time.Sleep(200 * time.Millisecond)
+		refused := serveGet(served)
+		assert.Equal(t, refused.Code, http.StatusTeapot)
+		assert.Equal(t, refused.Header().Get("Connection"), "close")
+		assert.Equal(t, refusing, 1)
+		assert.Equal(t, serveGet(l.PeerHandler(http.NotFoundHandler())).Code, http.StatusNotFound)
+		assert.Equal(t, l.State(), Refusing)
+		close(release)
+		assert.NilError(t, <-drained)
+		assert.Equal(t, <-inFlight, http.StatusOK)
+		assert.Equal(t, l.State(), Closed)
+	})
+}
+
+// Guards against requests that end without an answer because nothing tells their handlers
+// that the process ends, or that take it for a caller that has left.
+func TestInterruptEndsContextsWithCause(t *testing.T) {
+	l := New(Config{})
+	ctx, cancel := context.WithCancel(l.BaseContext(nil))
+	defer cancel()
+	assert.NilError(t, ctx.Err())
+	l.Interrupt()
+	<-ctx.Done()
+	assert.Assert(t, errors.Is(context.Cause(ctx), ErrInterrupted))
+}
--- a/pkg/lifecycle/refusal.go
+++ b/pkg/lifecycle/refusal.go
@@ -23,7 +23,6 @@
 }
 
 func writeRefusal(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Connection", "close")
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusServiceUnavailable)
 	// A write fails when the caller has gone away; nobody else needs the error.
--- a/pkg/lifecycle/state.go
+++ b/pkg/lifecycle/state.go
@@ -8,6 +8,7 @@
 	Starting State = iota // not ready; requests are served as far as possible
 	Ready                 // requests are served
 	Draining              // readiness fails; requests that still arrive are served
+	Refusing              // requests in flight are served; new ones of callers are refused
 	Closed                // no request is in flight; new ones are refused
 )
 
@@ -20,6 +21,8 @@
 		return "ready"
 	case Draining:
 		return "draining"
+	case Refusing:
+		return "refusing"
 	case Closed:
 		return "closed"
 	default:
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -40,6 +40,8 @@
 	// changes.
 	readHeaderTimeout = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
+	// callerListener is the name of the listener for callers.
+	callerListener = "caller"
 )
 
 // Instance forwards opaque requests as one instance of a deployment.
@@ -86,15 +88,36 @@
 		Allowance: s.Bounds.ExtraAllowance,
 		Window:    s.Bounds.ExtraWindow,
 	}, r.members.Share)
-	r.lifecycle = lifecycle.New(lifecycle.Config{
-		LoadBalancerDelay: loadBalancerDelay,
-		DrainTimeout:      max(s.Bounds.Grace-loadBalancerDelay-exitMargin, 0),
-		OnDraining:        r.announceDrain,
-	})
 	r.registerMetrics()
 	return r, r.openListeners()
 }
 
+// lifecycleConfig returns the phases of a planned stop. Within a short grace period the load
+// balancer gets half of the time.
+func (r *Instance) lifecycleConfig(refuse http.HandlerFunc) lifecycle.Config {
+	total := max(r.options.Settings.Bounds.Grace-exitMargin, 0)
+	delay := min(loadBalancerDelay, total/2)
+	return lifecycle.Config{
+		LoadBalancerDelay: delay,
+		AcceptTimeout:     delay,
+		DrainTimeout:      total - delay,
+		OnDraining:        r.announceDrain,
+		OnRefusing:        r.closeIdleConnections,
+		Refuse:            refuse,
+	}
+}
+
+// closeIdleConnections closes the connections on which callers wait for nothing, so that
+// they send their next request to another instance.
+func (r *Instance) closeIdleConnections() {
+	r.logger.Info("refusing new requests", "in_flight", r.lifecycle.InFlight())
+	for _, l := range r.listeners {
+		if l.name == callerListener {
+			l.server.SetKeepAlivesEnabled(false)
+		}
+	}
+}
+
 // announceDrain tells the other instances that this one takes no more work.
 func (r *Instance) announceDrain() {
 	r.members.SetLeaving()
@@ -142,14 +165,16 @@
 	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.reporter, r.seeds)
 	peerHandler := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
-	callerHandler := r.lifecycle.Handler(gateway.New(r.options.Codec, r.follower, engine, recorder))
+	front := gateway.New(r.options.Codec, r.follower, engine, recorder)
+	r.lifecycle = lifecycle.New(r.lifecycleConfig(front.RefuseShutdown))
 	idleCloser := gateway.NewIdleCloser(r.idleTimeout)
 	return errors.Join(
 		r.addListener("operator", s.Listen.Operator, &http.Server{Handler: r.registry.Handler()}),
 		r.addListener("peer", s.Listen.Peer, &http.Server{Handler: r.lifecycle.PeerHandler(peerHandler)}),
 		r.addListener("readiness", s.Listen.Readiness, &http.Server{Handler: r.lifecycle.Readiness()}),
-		r.addListener("caller", s.Listen.Caller, &http.Server{
-			Handler:                      callerHandler,
+		r.addListener(callerListener, s.Listen.Caller, &http.Server{
+			Handler:                      r.lifecycle.Handler(front),
+			BaseContext:                  r.lifecycle.BaseContext,
 			ConnState:                    idleCloser.ConnState,
 			ReadHeaderTimeout:            readHeaderTimeout,
 			MaxHeaderBytes:               maxHeaderBytes,
@@ -232,13 +257,15 @@
 	return err
 }
 
-// stop answers the requests in flight and closes the callers' listener.
+// stop serves the requests in flight, answers those that the drain leaves over and closes the
+// callers' listener.
 func (r *Instance) stop() error {
 	err := r.lifecycle.Drain(context.Background())
+	r.lifecycle.Interrupt()
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancel()
 	for _, l := range r.listeners {
-		if l.name == "caller" {
+		if l.name == callerListener {
 			err = errors.Join(err, l.shutdown(ctx))
 		}
 	}
