gateway: keep connections on which a request has arrived when a stop closes idle ones

A connection counts as idle until its next request has been read. At the end of the accept time of a planned stop, connections were closed whose request was already in the socket's buffer; its caller saw a closed connection, though the request could have been refused. The idle connections now close only if nothing has arrived on them, at the stop and at the idle timeout. A connection whose request was answered without "Connection: close", since the request had come before the stop, closes as soon as it is idle. isOpenWithoutInput moves from pkg/backend to pkg/socket, since both sides need it.

TestCloseAllKeepsConnectionsWithRequests fails when the check of the socket is left out.

--- a/pkg/backend/connection.go
+++ b/pkg/backend/connection.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/socket"
 )
 
 const (
@@ -89,12 +91,13 @@
 
 // usable reports whether an idle connection can carry another call: it is still
 // open, within its idle limit, and has no unread bytes, which would be taken for
-// the next call's reply.
+// the next call's reply. A call on a connection that the server has closed would look
+// as if it had crashed the server.
 func (c *connection) usable() bool {
 	if c.idleLimit > 0 && time.Since(c.lastUse) >= c.idleLimit {
 		return false
 	}
-	return c.reader.Buffered() == 0 && isOpenWithoutInput(c.raw)
+	return c.reader.Buffered() == 0 && socket.IsQuiet(c.raw)
 }
 
 func (c *connection) close() { _ = c.net.Close() }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/socket"
 	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
 
@@ -201,3 +202,42 @@
 	_, err := clientConn.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against a planned stop that closes a connection on which a request has just
+// arrived, and against idle connections that stay open after it.
+func TestCloseAllKeepsConnectionsWithRequests(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	connect := func() (server, client net.Conn) {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		server, err = listener.Accept()
+		assert.NilError(t, err)
+		return server, client
+	}
+	closer := NewIdleCloser(func() time.Duration { return time.Hour })
+	busyServer, busyClient := connect()
+	quietServer, quietClient := connect()
+	laterServer, laterClient := connect()
+	for _, conn := range []net.Conn{busyServer, busyClient, quietServer, quietClient, laterServer, laterClient} {
+		defer conn.Close()
+	}
+	closer.ConnState(busyServer, http.StateIdle)
+	closer.ConnState(quietServer, http.StateIdle)
+	_, err = busyClient.Write([]byte("GET"))
+	assert.NilError(t, err)
+	for socket.IsQuiet(busyServer) {
+		time.Sleep(time.Millisecond)
+	}
+	closer.CloseAll()
+	closer.ConnState(laterServer, http.StateIdle)
+	for _, client := range []net.Conn{quietClient, laterClient} {
+		_, err = client.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+	}
+	got := make([]byte, 3)
+	_, err = io.ReadFull(busyServer, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "GET")
+}
--- a/pkg/gateway/idle.go
+++ b/pkg/gateway/idle.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/socket"
 )
 
 const (
@@ -24,6 +26,7 @@
 
 	mu         sync.Mutex
 	idleTimers map[net.Conn]*time.Timer
+	closing    bool // connections close as soon as they are idle
 }
 
 // NewIdleCloser returns a closer that calls timeout each time a connection becomes
@@ -44,6 +47,10 @@
 	if state != http.StateIdle {
 		return
 	}
+	if c.closing {
+		closeQuiet(conn)
+		return
+	}
 	limit := c.timeout()
 	if limit <= 0 {
 		limit = defaultIdleTimeout
@@ -51,6 +58,26 @@
 	c.idleTimers[conn] = time.AfterFunc(limit+idleGrace, func() { c.close(conn) })
 }
 
+// CloseAll closes the idle connections, and from now on each connection that becomes
+// idle. Those on which a request has arrived stay open until it is answered.
+func (c *IdleCloser) CloseAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	for conn, timer := range c.idleTimers {
+		timer.Stop()
+		closeQuiet(conn)
+	}
+	clear(c.idleTimers)
+}
+
+// closeQuiet closes a connection unless its next request has arrived.
+func closeQuiet(conn net.Conn) {
+	if socket.IsQuiet(conn) {
+		_ = conn.Close()
+	}
+}
+
 // close closes a connection unless it has left the idle state since its timer fired.
 func (c *IdleCloser) close(conn net.Conn) {
 	c.mu.Lock()
@@ -58,6 +85,6 @@
 	delete(c.idleTimers, conn)
 	c.mu.Unlock()
 	if idle {
-		_ = conn.Close()
+		closeQuiet(conn)
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -61,6 +61,8 @@
 	registry  *telemetry.Registry
 	warmer    *warmer
 	listeners []*listener
+	// idleCloser closes idle connections of callers.
+	idleCloser *gateway.IdleCloser
 }
 
 // New builds an instance and opens its listeners.
@@ -111,11 +113,7 @@
 // they send their next request to another instance.
 func (r *Instance) closeIdleConnections() {
 	r.logger.Info("refusing new requests", "in_flight", r.lifecycle.InFlight())
-	for _, l := range r.listeners {
-		if l.name == callerListener {
-			l.server.SetKeepAlivesEnabled(false)
-		}
-	}
+	r.idleCloser.CloseAll()
 }
 
 // announceDrain tells the other instances that this one takes no more work.
@@ -167,7 +165,7 @@
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
 	front := gateway.New(r.options.Codec, r.follower, engine, recorder)
 	r.lifecycle = lifecycle.New(r.lifecycleConfig(front.RefuseShutdown))
-	idleCloser := gateway.NewIdleCloser(r.idleTimeout)
+	r.idleCloser = gateway.NewIdleCloser(r.idleTimeout)
 	return errors.Join(
 		r.addListener("operator", s.Listen.Operator, &http.Server{Handler: r.registry.Handler()}),
 		r.addListener("peer", s.Listen.Peer, &http.Server{Handler: r.lifecycle.PeerHandler(peerHandler)}),
@@ -175,7 +173,7 @@
 		r.addListener(callerListener, s.Listen.Caller, &http.Server{
 			Handler:                      r.lifecycle.Handler(front),
 			BaseContext:                  r.lifecycle.BaseContext,
-			ConnState:                    idleCloser.ConnState,
+			ConnState:                    r.idleCloser.ConnState,
 			ReadHeaderTimeout:            readHeaderTimeout,
 			MaxHeaderBytes:               maxHeaderBytes,
 			DisableGeneralOptionsHandler: true,
--- a/pkg/backend/socketcheck.go
+++ b/pkg/socket/quiet.go
@@ -1,16 +1,15 @@
-package backend
+// Package socket looks at the state of TCP connections.
+package socket
 
 import (
 	"net"
 	"syscall"
 )
 
-// isOpenWithoutInput reports whether the connection is open and has no unread
-// input. It peeks at the socket without blocking, which also detects that the
-// server closed the connection while it was idle; the next request on it would
-// otherwise look as if it had crashed the server. A connection without a file
-// descriptor counts as open.
-func isOpenWithoutInput(c net.Conn) bool {
+// IsQuiet reports whether the connection is open and has no unread input. It peeks
+// at the socket without blocking, which also detects that the other side has closed
+// the connection. A connection without a file descriptor counts as quiet.
+func IsQuiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
