forward: never pass on a failure that callers take for the promise "not run"

Cause: the reply's status was passed on although the engine knew that the request may have run. 408 and 429 without the statement "not run" were taken for final answers. Ruled out: the instance's own refusals (a run state decides them), the sharded and relayed paths (they pass on no failure), the own protocol (parseRefusal requires not_run; the run statement is in the body).

Routes that may repeat ask another server, otherwise the caller gets 502.

--- a/pkg/forward/results.go
+++ b/pkg/forward/results.go
@@ -27,14 +27,15 @@
 }
 
 // accepts reports whether a reply completes its shard request. An error reply does so only
-// on a route that is not sharded and if another server would reply the same.
+// on a route that is not sharded, if another server would reply the same and if it may be
+// passed on.
 func (r *activeRequest) accepts(reply *Reply) bool {
 	switch {
 	case reply == nil || reply.NotRun:
 		return false
 	case reply.success():
 		return true
-	case r.route.Sharded():
+	case r.route.Sharded() || !reply.mayBePassedOn():
 		return false
 	default:
 		return reply.Status >= http.StatusMultipleChoices && reply.Status < http.StatusInternalServerError
@@ -66,7 +67,7 @@
 	default:
 		s.mayHaveRun = true
 		event.Event, event.Detail = "failed at server", http.StatusText(res.reply.Status)
-		if !r.route.Sharded() && res.reply.Status >= http.StatusInternalServerError {
+		if !r.route.Sharded() && res.reply.mayBePassedOn() && res.reply.Status >= http.StatusInternalServerError {
 			s.failure = res.reply
 		}
 	}
--- a/pkg/forward/single_test.go
+++ b/pkg/forward/single_test.go
@@ -82,6 +82,34 @@
 	})
 }
 
+// Guards against passing on a failure whose status promises that the request has not run,
+// although the server does not state that: callers would repeat a request that may run only
+// once. On other routes another server is asked.
+func TestFalsePromiseIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		promises := func(context.Context, Call) (*Reply, error) {
+			return &Reply{Status: status, Proof: "proof-of-failure", PromisesNotRun: true}, nil
+		}
+		for _, repeatable := range []bool{true, false} {
+			simulate(t, func(t *testing.T, tb *testbed) {
+				route := tb.singleRoute(repeatable)
+				tb.setBehaviour("one.a", tb.counted(promises))
+				answer, _ := tb.ask(background, route)
+				if repeatable {
+					assert.Assert(t, answer.Reply != nil && answer.Reply.success(), "%d", status)
+					tb.setBehaviour("one.b", tb.counted(promises))
+					answer, _ = tb.ask(background, route)
+				} else {
+					assert.Equal(t, tb.arrivalCount(), 1)
+				}
+				assert.Assert(t, answer.Refusal != nil, "%d", status)
+				assert.Equal(t, answer.Refusal.Reason, AnswerLost)
+				assert.Assert(t, !answer.Refusal.NotRun)
+			})
+		}
+	}
+}
+
 // Guards against hedging a request that may run only once.
 func TestUnrepeatableRequestIsNotHedged(t *testing.T) {
 	simulate(t, func(t *testing.T, tb *testbed) {
