forward: end waits for connections to servers that begin to leave

Cause: an attempt chose its server, then waited for a connection for as long as the request lasted, and was written without another look at the server. Retries chose among the servers listed when the request arrived. Ruled out: a late view, since no request is late any more with the same view, and the last resort, which ends after half of the drain time.

Change: a wait ends when its server begins to leave and the attempt goes elsewhere, uncharged; right before it is written the directory decides whether the server may still be used; hedges and retries use the current list. The own protocol checks an index query again after the wait.

--- a/pkg/backend/calls.go
+++ b/pkg/backend/calls.go
@@ -9,6 +9,10 @@
 	Snapshot int64
 	Query    string
 	Limit    int32
+	// MaySend is called when a connection is ready, possibly after a wait. If it returns
+	// false, nothing is sent and the error has the status DRAINING. A nil function allows
+	// every call.
+	MaySend func() bool
 }
 
 // Hit is one found document.
--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -134,7 +134,7 @@
 		return notRun(peerpb.ResultStatus_DEADLINE, "no connection before the deadline", ctx.Err())
 	}
 	detail := errtext.Describe(err)
-	if errors.Is(err, errNoQuota) || errors.Is(err, errClosed) {
+	if errors.Is(err, errNoQuota) || errors.Is(err, errClosed) || errors.Is(err, errLeaves) {
 		detail = err.Error()
 	}
 	return notRun(peerpb.ResultStatus_UNREACHABLE, detail, err)
--- a/pkg/backend/forward.go
+++ b/pkg/backend/forward.go
@@ -32,6 +32,9 @@
 	// nil, the call fails without being sent.
 	EncodeRequest func() []byte
 	NewConnection bool // dial a new connection instead of reusing an idle one
+	// Leaves is closed when the server begins to leave. A call that waits for a connection
+	// then fails without being sent. A nil channel is never closed.
+	Leaves <-chan struct{}
 	// MatchesReply reports whether a reply with the given header answers this call. A
 	// nil function accepts every reply.
 	MatchesReply func(http.Header) bool
@@ -74,7 +77,7 @@
 // Forward sends a call, at most once, and reads the whole reply. Cancellation of the context closes the connection, which cancels the
 // request at the server.
 func (p *Pool) Forward(ctx context.Context, call ForwardCall) (*ForwardReply, error) {
-	conn, err := p.acquire(ctx, call.NewConnection)
+	conn, err := p.acquireUnless(ctx, call.NewConnection, call.Leaves)
 	if err != nil {
 		callErr := acquireError(ctx, err)
 		return nil, &ForwardError{Status: callErr.Status, Detail: callErr.Detail, Cause: callErr.Cause}
--- a/pkg/backend/forward_test.go
+++ b/pkg/backend/forward_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -226,3 +227,40 @@
 	open, _ := pool.Stats()
 	assert.Equal(t, open, 1)
 }
+
+// Guards against a call that waits for a connection to a server that has begun to leave, and
+// against a wait that takes a connection away from other calls when it ends.
+func TestWaitEndsWhenTheServerLeaves(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{}, 2)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-release
+	}))
+	defer server.Close()
+	pool := NewPool(membership.BackendServer{ID: "a", Address: server.Listener.Addr().String()}, Options{MaxConnections: 1})
+	defer pool.Close()
+	call := ForwardCall{Method: "GET", EncodeRequest: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n") }}
+	results := make(chan error, 2)
+	forward := func(call ForwardCall) {
+		_, err := pool.Forward(t.Context(), call)
+		results <- err
+	}
+	go forward(call)
+	<-started
+	leaves := make(chan struct{})
+	waiting := call
+	waiting.Leaves = leaves
+	go forward(waiting)
+	time.Sleep(20 * time.Millisecond)
+	close(leaves)
+	var failed *ForwardError
+	assert.Assert(t, errors.As(<-results, &failed))
+	assert.Assert(t, !failed.Sent)
+	assert.Equal(t, failed.Detail, "backend server leaves")
+	go forward(call)
+	time.Sleep(20 * time.Millisecond)
+	close(release)
+	assert.NilError(t, <-results)
+	assert.NilError(t, <-results)
+}
--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -13,6 +13,7 @@
 var (
 	errClosed  = errors.New("pool closed")
 	errNoQuota = errors.New("no connection quota")
+	errLeaves  = errors.New("backend server leaves")
 )
 
 // Pool holds the connections of this instance to one backend server. All
@@ -79,6 +80,11 @@
 // set, it dials a new connection and, if the limit is reached, closes an idle
 // one first.
 func (p *Pool) acquire(ctx context.Context, fresh bool) (*connection, error) {
+	return p.acquireUnless(ctx, fresh, nil)
+}
+
+// acquireUnless is acquire, but the wait ends with errLeaves when leaves is closed.
+func (p *Pool) acquireUnless(ctx context.Context, fresh bool, leaves <-chan struct{}) (*connection, error) {
 	for {
 		conn, dial, wait, err := p.tryAcquire(fresh)
 		if err != nil || conn != nil {
@@ -89,6 +95,9 @@
 		}
 		select {
 		case <-wait:
+		case <-leaves:
+			p.removeWaiter(wait)
+			return nil, errLeaves
 		case <-ctx.Done():
 			p.removeWaiter(wait)
 			return nil, ctx.Err()
--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -68,6 +68,10 @@
 	if err != nil {
 		return nil, false, acquireError(ctx, err)
 	}
+	if call.MaySend != nil && !call.MaySend() {
+		p.release(conn)
+		return nil, false, notRun(peerpb.ResultStatus_DRAINING, errLeaves.Error(), nil).withState(ServerState{Draining: true})
+	}
 	req, err := p.searchRequest(ctx, call)
 	if err != nil {
 		p.discard(conn)
--- a/pkg/backend/search_test.go
+++ b/pkg/backend/search_test.go
@@ -160,3 +160,39 @@
 	_, err := pool.Search(testContext(t), testCall)
 	wantFailure(t, err, peerpb.ResultStatus_UNREACHABLE, noRun)
 }
+
+// Guards against a search that waits for a connection and reaches its server after that has
+// begun to leave, and against a connection that is lost when the search is not sent.
+func TestSearchIsNotSentToServerThatLeaves(t *testing.T) {
+	reached := make(chan struct{}, 4)
+	release := make(chan struct{})
+	server := newRawServer(t, func(_ net.Conn, _ int32, _ *http.Request) (string, bool) {
+		reached <- struct{}{}
+		<-release
+		return searchReplyWith("documents", 9), false
+	})
+	pool := poolFor(t, server.address(), Options{})
+	pool.SetMaxConnections(1)
+	first := make(chan error, 1)
+	go func() {
+		_, err := pool.Search(testContext(t), testCall)
+		first <- err
+	}()
+	<-reached
+	var leaves atomic.Bool
+	waiting := testCall
+	waiting.MaySend = func() bool { return !leaves.Load() }
+	second := make(chan error, 1)
+	go func() {
+		_, err := pool.Search(testContext(t), waiting)
+		second <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	leaves.Store(true)
+	close(release)
+	assert.NilError(t, <-first)
+	failure := wantFailure(t, <-second, peerpb.ResultStatus_DRAINING, peerpb.RunState_RUN_STATE_NOT_RUN)
+	assert.Assert(t, failure.Draining)
+	assert.Equal(t, len(reached), 0)
+	wantStats(t, pool, 1, 1)
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -163,6 +163,29 @@
 	return removed
 }
 
+// MayUse reports whether a server that was chosen earlier may still get a request: the same
+// run of it is listed, and if it leaves, its last-resort time has not expired.
+func (d *Directory) MayUse(server *Server) bool {
+	listed := d.listed(server)
+	return listed != nil && (!listed.Leaving() || !d.lastResortExpired(listed, d.now()))
+}
+
+// HasBegunToLeave reports whether a server that was chosen while it stayed leaves now.
+func (d *Directory) HasBegunToLeave(server *Server) bool {
+	listed := d.listed(server)
+	return !server.Leaving() && listed != nil && listed.Leaving()
+}
+
+// listed returns the current state of this run of a server, or nil.
+func (d *Directory) listed(server *Server) *Server {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if listed := d.byID[server.ID]; listed != nil && listed.Key() == server.Key() {
+		return listed
+	}
+	return nil
+}
+
 // Servers returns the usable servers of a service: those that are not leaving or, if there
 // are none, the last-resort servers. The caller must not modify the slice.
 func (d *Directory) Servers(service string) []*Server {
@@ -245,6 +268,18 @@
 // replaceLocked replaces the state old of a server by next. A nil old adds the server, a
 // nil next deletes it.
 func (d *Directory) replaceLocked(old, next *Server) {
+	if next != nil {
+		next.leaves = nil
+	}
+	switch {
+	case next != nil && !next.Leaving() && old != nil && !old.Leaving() && next.Key() == old.Key():
+		next.leaves = old.leaves
+	case old != nil && !old.Leaving():
+		close(old.leaves)
+	}
+	if next != nil && !next.Leaving() && next.leaves == nil {
+		next.leaves = make(chan struct{})
+	}
 	if old != nil {
 		list := slices.Clone(d.byService[old.Service])
 		list = slices.DeleteFunc(list, func(s *Server) bool { return s.ID == old.ID })
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -135,3 +135,62 @@
 		assert.Equal(t, IDOfKey(server.Key()), id)
 	}
 }
+
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against waits for a server that do not end when it begins to leave, and against
+// waits that end although it stays.
+func TestLeavesIsClosedWhenTheRunLeaves(t *testing.T) {
+	for name, leave := range map[string]func(*testDirectory){
+		"drains":      func(d *testDirectory) { d.Put(entry("a", 1, membership.StateLeaving)) },
+		"is removed":  func(d *testDirectory) { d.Remove("a") },
+		"lapses":      func(d *testDirectory) { d.Replace(nil) },
+		"says so":     func(d *testDirectory) { d.MarkLeaving(d.Servers("s")[0]) },
+		"starts anew": func(d *testDirectory) { d.Put(entry("a", 2, membership.StateLive)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestDirectory()
+			d.Put(entry("a", 1, membership.StateLive))
+			first := d.Servers("s")[0]
+			warming := entry("a", 1, membership.StateLive)
+			warming.WarmUp = time.Second
+			d.Put(warming)
+			second := d.Servers("s")[0]
+			assert.Assert(t, !closed(first.Leaves()) && !closed(second.Leaves()))
+			leave(d)
+			assert.Assert(t, closed(first.Leaves()) && closed(second.Leaves()))
+			if name != "starts anew" {
+				assert.Assert(t, d.HasBegunToLeave(second))
+				assert.Equal(t, d.Servers("s")[0].Leaves(), (<-chan struct{})(nil))
+			}
+		})
+	}
+}
+
+// Guards against sending to a server that was chosen before it left or started anew.
+func TestMayUseFollowsTheListedRun(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entry("a", 1, membership.StateLive))
+	chosen := d.Servers("s")[0]
+	assert.Assert(t, d.MayUse(chosen))
+	d.Remove("a")
+	d.now = d.now.Add(drain / 2)
+	assert.Assert(t, d.MayUse(chosen))
+	d.now = d.now.Add(time.Millisecond)
+	assert.Assert(t, !d.MayUse(chosen))
+	d.Put(entry("a", 1, membership.StateLive))
+	assert.Assert(t, d.MayUse(chosen))
+	d.Put(entry("a", 2, membership.StateLive))
+	assert.Assert(t, !d.MayUse(chosen))
+	d.Remove("a")
+	d.now = d.now.Add(drain)
+	d.Sweep()
+	assert.Assert(t, !d.MayUse(chosen) && !d.HasBegunToLeave(chosen))
+}
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -17,12 +17,18 @@
 	// LeavingSince is when this instance first saw that the server drains or that its
 	// entry is gone; zero for a server that is not leaving.
 	LeavingSince time.Time
+
+	leaves chan struct{} // closed when this run of the server begins to leave; nil once it leaves
 }
 
 // Leaving reports whether the server drains or is no longer listed. Such a server is used
 // only if no other one can be.
 func (s *Server) Leaving() bool { return !s.LeavingSince.IsZero() }
 
+// Leaves returns a channel that is closed when this run of the server begins to leave, or is
+// replaced by another one. The channel is nil if the server is leaving already.
+func (s *Server) Leaves() <-chan struct{} { return s.leaves }
+
 // Key identifies one run of the server's process at one address.
 func (s *Server) Key() string {
 	return s.ID + "/" + strconv.FormatInt(s.Started, 36) + "/" + s.Address
--- a/pkg/forward/backendclient.go
+++ b/pkg/forward/backendclient.go
@@ -20,6 +20,9 @@
 	// Until is the time at which the server may stop work, because a later reply is of
 	// no use.
 	Until time.Time
+	// Leaves is closed when the server begins to leave. An attempt that waits for a connection
+	// then ends without being sent. It is nil for a server that leaves already.
+	Leaves <-chan struct{}
 	// Send is called once, right before the first byte of the request is written, possibly
 	// after a wait for a connection. If it returns false, nothing may be written.
 	Send func() bool
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -43,6 +43,10 @@
 		s.waiting = true
 		return true
 	}
+	if why != first {
+		// Servers may have begun to leave since the request arrived.
+		s.servers = r.engine.directory.Servers(s.service)
+	}
 	choice, ok := r.choose(s, now)
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
 		return false
@@ -248,7 +252,8 @@
 		Connections:   r.engine.connections(r.maxConnections(s.service), server.Zone),
 		NewConnection: !r.route.Repeatable,
 		Until:         until,
-		Send:          state.Send,
+		Leaves:        server.Leaves(),
+		Send:          func() bool { return r.engine.directory.MayUse(server) && state.Send() },
 	}
 	tracked := r.engine.tracker.Begin(server, r.route.Name, now, r.replyDue(due, now))
 	go r.attempt(attemptResult{shardIndex: s.index, server: server, runState: state, started: now}, call, tracked)
--- a/pkg/forward/pooledclient.go
+++ b/pkg/forward/pooledclient.go
@@ -72,6 +72,7 @@
 			return c.codec.EncodeCall(call.Request, call.Server, left)
 		},
 		NewConnection: call.NewConnection,
+		Leaves:        call.Leaves,
 		MatchesReply:  func(h http.Header) bool { return c.codec.Answers(call.Request, h) },
 	})
 	if err != nil {
--- a/pkg/forward/results.go
+++ b/pkg/forward/results.go
@@ -56,6 +56,9 @@
 	switch {
 	case res.reply == nil && !res.err.Sent:
 		r.uncountArrival(s)
+		if r.engine.directory.HasBegunToLeave(res.server) {
+			s.forget(res.server.ID) // it may still serve as a last resort
+		}
 		event.Event, event.Detail = "not sent", res.err.Error()
 	case res.reply == nil:
 		s.mayHaveRun = true
--- a/pkg/forward/shardrequest.go
+++ b/pkg/forward/shardrequest.go
@@ -74,4 +74,9 @@
 	return false
 }
 
+// forget makes a server that was selected and not reached available again.
+func (s *shardRequest) forget(id string) {
+	s.tried = slices.DeleteFunc(s.tried, func(tried string) bool { return tried == id })
+}
+
 func (s *shardRequest) isComplete() bool { return s.reply != nil || s.lost }
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -39,6 +39,7 @@
 
 	mu       sync.Mutex
 	servers  map[string]behaviour // by id; a server without an entry answers after work
+	busy     map[string]time.Time // by server id: until when attempts wait for a connection
 	arrivals []string             // "service server" of each counted request, in order
 	lateness []LatenessChange
 }
@@ -46,7 +47,7 @@
 var testLimits = retrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second}
 
 func newTestbed() *testbed {
-	tb := &testbed{servers: map[string]behaviour{}, relays: map[string]Relay{}}
+	tb := &testbed{servers: map[string]behaviour{}, busy: map[string]time.Time{}, relays: map[string]Relay{}}
 	tb.directory = directory.New(3*time.Second, time.Now)
 	tb.budget = retrybudget.New(testLimits, func() float64 { return 1 })
 	tb.engine = tb.newEngine(localZone, tb)
@@ -98,8 +99,15 @@
 // Call implements BackendClient.
 func (tb *testbed) Call(ctx context.Context, call Call) (*Reply, error) {
 	tb.mu.Lock()
-	act := tb.servers[call.Server.ID]
+	act, busy := tb.servers[call.Server.ID], tb.busy[call.Server.ID]
 	tb.mu.Unlock()
+	select {
+	case <-time.After(time.Until(busy)):
+	case <-call.Leaves:
+		return nil, &CallError{Detail: "backend server leaves"}
+	case <-ctx.Done():
+		return nil, &CallError{Detail: "no connection", Cause: ctx.Err()}
+	}
 	if act == nil {
 		act = answersAfter(work)
 	}
@@ -123,6 +131,23 @@
 	tb.servers[id] = act
 }
 
+// occupy lets attempts at a server wait for a connection for d.
+func (tb *testbed) occupy(id string, d time.Duration) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.busy[id] = time.Now().Add(d)
+}
+
+// drain lists a server as one that leaves, after d.
+func (tb *testbed) drain(service, id, zone string, d time.Duration) {
+	time.AfterFunc(d, func() {
+		tb.directory.Put(directory.Entry{
+			Server:   membership.BackendServer{ID: id, Service: service, Zone: zone, Address: "10.0.0.1:1", State: membership.StateLeaving},
+			Capacity: 2,
+		})
+	})
+}
+
 func (tb *testbed) counted(act behaviour) behaviour {
 	return func(ctx context.Context, call Call) (*Reply, error) {
 		tb.recordArrival(call)
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -75,6 +75,7 @@
 		s.waiting = true
 		return true
 	}
+	s.servers = r.engine.directory.Servers(s.service)
 	choice, ok := r.engine.tracker.Choose(s.servers, r.route.Name, func(id string) bool { return !slices.Contains(s.expiredServers, id) }, now)
 	if ok && choice.RateDelay > 0 {
 		return false
--- a/pkg/owner/attempt.go
+++ b/pkg/owner/attempt.go
@@ -87,7 +87,7 @@
 		return a.notSentReply(peerpb.ResultStatus_QUARANTINED, err.Error())
 	}
 	config.Guard.Begin(a.request.Fingerprint, r.server, now)
-	searchReply, err := r.pool.Search(ctx, a.searchCall())
+	searchReply, err := r.pool.Search(ctx, a.searchCall(r))
 	config.Guard.End(a.request.Fingerprint, r.server.ID, crashOutcome(err), config.Now())
 	if err != nil {
 		a.reportReachability(r, err)
@@ -139,8 +139,9 @@
 	return shardReply{result: result}
 }
 
-func (a *attemptRun) searchCall() backend.SearchCall {
+func (a *attemptRun) searchCall(r *replica) backend.SearchCall {
 	return backend.SearchCall{
+		MaySend:  func() bool { return a.owner.config.View.AcceptsRequests(r.server.ID, a.owner.config.Now()) },
 		Request:  a.request.RequestId,
 		Attempt:  a.attempt.Attempt,
 		Shard:    a.attempt.Shard,
--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -37,11 +37,12 @@
 	requests      atomic.Int32 // received by the backend server
 	serve         func(http.ResponseWriter, *http.Request)
 	onEnsureFresh func() // called when the owner confirms its view
+	limits        Limits // of the requests
 	backend       *httptest.Server
 }
 
 func newTestbed(t *testing.T) *testbed {
-	b := &testbed{view: membership.NewView("i0", "z0"), guard: crashguard.New(), serve: sendMatchingReply, onEnsureFresh: func() {}}
+	b := &testbed{view: membership.NewView("i0", "z0"), guard: crashguard.New(), serve: sendMatchingReply, onEnsureFresh: func() {}, limits: Limits{Slots: 1, Connections: 25}}
 	b.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.requests.Add(1)
 		b.serve(w, r)
@@ -81,7 +82,7 @@
 // search runs one attempt and returns its result, nil when it was cancelled.
 func (b *testbed) search(ctx context.Context, fingerprint uint64) (result *peerpb.ShardResult, hits int) {
 	_ = b.Search(ctx, &peerpb.SearchRequest{
-		RequestId: "r", Snapshot: 1, TimeoutMs: timeoutMs, Slots: 1, Connections: 25, Fingerprint: fingerprint, CrashLimit: 2,
+		RequestId: "r", Snapshot: 1, TimeoutMs: timeoutMs, Slots: int32(b.limits.Slots), Connections: int32(b.limits.Connections), Fingerprint: fingerprint, CrashLimit: 2,
 		Attempts: []*peerpb.ShardAttempt{{BackendServerId: serverID, Attempt: 1, Documents: documents}},
 	}, func(frame *peerpb.SearchFrame) error {
 		for _, r := range frame.Results {
@@ -160,6 +161,33 @@
 	})
 }
 
+// Guards against an attempt that has a slot, waits for a connection and reaches a server that
+// has begun to leave meanwhile.
+func TestAttemptThatWaitsForConnectionIsCheckedAgain(t *testing.T) {
+	b := newTestbed(t)
+	b.limits = Limits{Slots: 2, Connections: 1}
+	started, proceed := make(chan bool, 2), make(chan bool)
+	b.serve = func(w http.ResponseWriter, r *http.Request) {
+		started <- true
+		<-proceed
+		sendMatchingReply(w, r)
+	}
+	go b.search(t.Context(), otherFingerprint)
+	<-started
+	waiting := make(chan *peerpb.ShardResult)
+	go func() {
+		result, _ := b.search(t.Context(), 1)
+		waiting <- result
+	}()
+	time.Sleep(50 * time.Millisecond)
+	b.view.RecordServerDrain(serverID, "", b.now())
+	close(proceed)
+	result := <-waiting
+	assert.Equal(t, result.Status, peerpb.ResultStatus_DRAINING)
+	assert.Equal(t, result.Run, peerpb.RunState_RUN_STATE_NOT_RUN)
+	assert.Equal(t, b.requests.Load(), int32(1))
+}
+
 // Guards against a cancelled search that keeps its slot or its connection, and
 // against a search that is sent after its cancellation.
 func TestCancelledSearchReleasesSlot(t *testing.T) {
