--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -94,11 +94,19 @@
 		}
 	}
 	s.publish()
+	s.startProcesses(t, 2, func(string) string { return s.proxy(t, s.store.Address()) })
+	return s
+}
+
+// startProcesses starts processes in each zone. StoreOf returns the address at which a
+// process reaches the store.
+func (s *system) startProcesses(t *testing.T, perZone int, storeOf func(id string) string) {
 	dir := t.TempDir()
 	var seeds []string
 	for _, zone := range zones {
-		for n := range 2 {
-			p := newProcess(dir, fmt.Sprintf("%s-%d", zone, n), zone, s.proxy(t, s.store.Address()), len(s.processes))
+		for n := range perZone {
+			id := fmt.Sprintf("%s-%d", zone, n)
+			p := newProcess(dir, id, zone, storeOf(id), len(s.processes))
 			s.processes = append(s.processes, p)
 			seeds = append(seeds, fmt.Sprintf("%q", p.peer))
 		}
@@ -113,7 +121,6 @@
 		}
 		s.keepLogs(t)
 	})
-	return s
 }
 
 func (s *system) proxy(t *testing.T, target string) string {
