relay: let requests that have arrived on idle connections be read before the listener closes

Found on reading the change again. When a drain becomes idle, http.Server.Shutdown closes every idle connection, also one whose next request is already in the socket's buffer; the same happened when the drain became idle at the moment at which idle connections close. IdleCloser.CloseAll now waits, at most 100 ms, until such connections are no longer idle, and runs before Shutdown too. The request is then refused as not run.

TestCloseAllKeepsConnectionsWithRequests checks that CloseAll waits while a request has not been read and returns at once afterwards.

--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -280,8 +280,8 @@
 	return choice.Slow || choice.ExpectedLatency == 0 && !r.engine.budgetCoversRetries(s.service, now)
 }
 
-// attempt sends one attempt and delivers its result, which holds the attempt so far. It runs in its own goroutine and may
-// continue after the request has its answer.
+// attempt sends one attempt and delivers its result. Res holds the attempt. It runs in its
+// own goroutine and may continue after the request has its answer.
 func (r *activeRequest) attempt(res attemptResult, call Call, tracked *replicas.Attempt) {
 	defer r.release()
 	reply, err := r.engine.client.Call(r.ctx, call)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -230,7 +230,12 @@
 	for socket.IsQuiet(busyServer) {
 		time.Sleep(time.Millisecond)
 	}
-	closer.CloseAll()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	closer.CloseAll(ctx)
+	assert.ErrorIs(t, ctx.Err(), context.DeadlineExceeded) // the request has not been read
+	closer.ConnState(busyServer, http.StateActive)
+	closer.CloseAll(t.Context()) // returns at once
 	closer.ConnState(laterServer, http.StateIdle)
 	for _, client := range []net.Conn{quietClient, laterClient} {
 		_, err = client.Read(make([]byte, 1))
--- a/pkg/gateway/idle.go
+++ b/pkg/gateway/idle.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,8 @@
 	idleGrace = 2 * time.Second
 	// defaultIdleTimeout is the idle timeout when the table states none.
 	defaultIdleTimeout = 5 * time.Minute
+	// closeInterval is how often CloseAll looks at the connections that are left.
+	closeInterval = time.Millisecond
 )
 
 // IdleCloser closes callers' connections that stay idle for too long. It replaces
@@ -47,8 +50,7 @@
 	if state != http.StateIdle {
 		return
 	}
-	if c.closing {
-		closeQuiet(conn)
+	if c.closing && closeQuiet(conn) {
 		return
 	}
 	limit := c.timeout()
@@ -59,23 +61,42 @@
 }
 
 // CloseAll closes the idle connections, and from now on each connection that becomes
-// idle. Those on which a request has arrived stay open until it is answered.
-func (c *IdleCloser) CloseAll() {
+// idle. Those on which a request has arrived stay open; CloseAll waits until they are no
+// longer idle, at most until ctx ends.
+func (c *IdleCloser) CloseAll(ctx context.Context) {
+	ticker := time.NewTicker(closeInterval)
+	defer ticker.Stop()
+	for !c.closeIdle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// closeIdle closes the idle connections on which no request has arrived, and reports
+// whether no idle connection is left.
+func (c *IdleCloser) closeIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
 	for conn, timer := range c.idleTimers {
-		timer.Stop()
-		closeQuiet(conn)
+		if closeQuiet(conn) {
+			timer.Stop()
+			delete(c.idleTimers, conn)
+		}
 	}
-	clear(c.idleTimers)
+	return len(c.idleTimers) == 0
 }
 
-// closeQuiet closes a connection unless its next request has arrived.
-func closeQuiet(conn net.Conn) {
-	if socket.IsQuiet(conn) {
+// closeQuiet closes a connection and returns true, unless its next request has arrived.
+func closeQuiet(conn net.Conn) bool {
+	quiet := socket.IsQuiet(conn)
+	if quiet {
 		_ = conn.Close()
 	}
+	return quiet
 }
 
 // close closes a connection unless it has left the idle state since its timer fired.
--- a/pkg/lifecycle/drain.go
+++ b/pkg/lifecycle/drain.go
@@ -14,9 +14,9 @@
 
 // Drain stops the service. Readiness fails at once, but requests are still served
 // for the load balancer's delay and then until none is in flight and no ticket is
-// live; after the accept timeout new ones are refused. The state is Closed when Drain returns. Drain returns a *DrainError if the
-// drain timeout passes or ctx ends before that. Later calls wait for the first
-// one and return its result.
+// live; after the accept timeout new ones are refused. The state is Closed when
+// Drain returns. Drain returns a *DrainError if the drain timeout passes or ctx ends
+// before that. Later calls wait for the first one and return its result.
 func (l *Lifecycle) Drain(ctx context.Context) error {
 	result, first := l.beginDrain()
 	if !first {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -40,6 +40,8 @@
 	// changes.
 	readHeaderTimeout = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
+	// idleCloseTimeout bounds the wait for requests that have arrived on idle connections.
+	idleCloseTimeout = 100 * time.Millisecond
 	// callerListener is the name of the listener for callers.
 	callerListener = "caller"
 )
@@ -104,16 +106,23 @@
 		AcceptTimeout:     delay,
 		DrainTimeout:      total - delay,
 		OnDraining:        r.announceDrain,
-		OnRefusing:        r.closeIdleConnections,
+		OnRefusing:        r.announceRefusals,
 		Refuse:            refuse,
 	}
 }
 
+// announceRefusals logs that new requests are refused from now on.
+func (r *Instance) announceRefusals() {
+	r.logger.Info("refusing new requests", "in_flight", r.lifecycle.InFlight())
+	r.closeIdleConnections()
+}
+
 // closeIdleConnections closes the connections on which callers wait for nothing, so that
 // they send their next request to another instance.
 func (r *Instance) closeIdleConnections() {
-	r.logger.Info("refusing new requests", "in_flight", r.lifecycle.InFlight())
-	r.idleCloser.CloseAll()
+	ctx, cancel := context.WithTimeout(context.Background(), idleCloseTimeout)
+	defer cancel()
+	r.idleCloser.CloseAll(ctx)
 }
 
 // announceDrain tells the other instances that this one takes no more work.
@@ -260,6 +269,8 @@
 func (r *Instance) stop() error {
 	err := r.lifecycle.Drain(context.Background())
 	r.lifecycle.Interrupt()
+	// Shutdown closes idle connections also when a request has just arrived on them.
+	r.closeIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
 	defer cancel()
 	for _, l := range r.listeners {
