tests: no race in the test of the accept timeout, no needless timers in the testbed of pkg/forward

The race detector found a counter that the drain's timer and the test use. In pkg/forward it crashed itself (ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346) in three of three runs of TestSlowShardsWorkOnPartsThatAreStillWanted: the testbed set a timer for each attempt, also at servers without a wait.

--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -101,12 +101,14 @@
 	tb.mu.Lock()
 	act, busy := tb.servers[call.Server.ID], tb.busy[call.Server.ID]
 	tb.mu.Unlock()
-	select {
-	case <-time.After(time.Until(busy)):
-	case <-call.Leaves:
-		return nil, &CallError{Detail: "backend server leaves"}
-	case <-ctx.Done():
-		return nil, &CallError{Detail: "no connection", Cause: ctx.Err()}
+	if !busy.IsZero() {
+		select {
+		case <-time.After(time.Until(busy)):
+		case <-call.Leaves:
+			return nil, &CallError{Detail: "backend server leaves"}
+		case <-ctx.Done():
+			return nil, &CallError{Detail: "no connection", Cause: ctx.Err()}
+		}
 	}
 	if act == nil {
 		act = answersAfter(work)
--- a/pkg/lifecycle/lifecycle_test.go
+++ b/pkg/lifecycle/lifecycle_test.go
@@ -157,8 +157,8 @@
 // of other instances are served.
 func TestDrainRefusesAfterAcceptTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		refusing := 0
-		l := New(Config{LoadBalancerDelay: 2 * time.Second, AcceptTimeout: 3 * time.Second, DrainTimeout: time.Minute, OnRefusing: func() { refusing++ },
+		var refusing atomic.Int32
+		l := New(Config{LoadBalancerDelay: 2 * time.Second, AcceptTimeout: 3 * time.Second, DrainTimeout: time.Minute, OnRefusing: func() { refusing.Add(1) },
 			Refuse: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })})
 		l.SetReady()
 		release := make(chan struct{})
@@ -172,12 +172,12 @@
 		served := l.Handler(http.NotFoundHandler())
 		time.Sleep(2900 * time.Millisecond)
 		assert.Equal(t, serveGet(served).Code, http.StatusNotFound)
-		assert.Equal(t, refusing, 0)
+		assert.Equal(t, refusing.Load(), int32(0))
 		time.Sleep(200 * time.Millisecond)
 		refused := serveGet(served)
 		assert.Equal(t, refused.Code, http.StatusTeapot)
 		assert.Equal(t, refused.Header().Get("Connection"), "close")
-		assert.Equal(t, refusing, 1)
+		assert.Equal(t, refusing.Load(), int32(1))
 		assert.Equal(t, serveGet(l.PeerHandler(http.NotFoundHandler())).Code, http.StatusNotFound)
 		assert.Equal(t, l.State(), Refusing)
 		close(release)
