--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -35,24 +34,6 @@
 	longestThinking = 4 * time.Second
 )
 
-// stopTable is the operator's table of the planned stops.
-func stopTable(shards []string) string {
-	names, err := json.Marshal(shards)
-	if err != nil {
-		panic(err) // strings can always be encoded
-	}
-	var services []string
-	for _, name := range append(shards, singleService) {
-		services = append(services, fmt.Sprintf(`{"name":%q,"health_path":"/health","max_connections":42,"protocol":"h1","tls":false}`, name))
-	}
-	return fmt.Sprintf(`{"version":1,"routes":[
-		{"name":"all","host":%q,"prefix":"/all/","route_type":"safe","timeout_ms":2000,"target_latency_ms":150,"priority":1,"gather":%s,"max_attempts":2,"top_k":%d,"min_shard_ratio":0.75},
-		{"name":"profile","host":%q,"prefix":"/profile/","route_type":"safe","timeout_ms":8000,"target_latency_ms":500,"priority":2,"backend":%q,"max_attempts":2},
-		{"name":"booking","host":%q,"prefix":"/booking/","route_type":"unsafe","timeout_ms":8000,"target_latency_ms":500,"priority":2,"backend":%q,"max_attempts":2}],
-		"backends":[%s],"limits":{"max_body_bytes":262144,"idle_timeout_ms":15000}}`,
-		host, names, top, host, singleService, host, singleService, strings.Join(services, ","))
-}
-
 func newStopSystem(t *testing.T) *system {
 	file, err := binary()
 	assert.NilError(t, err)
@@ -79,7 +60,7 @@
 		}
 		add(singleService, zones[n%len(zones)], work)
 	}
-	s.store.Write(platformtest.KeyTable, stopTable(names))
+	s.store.Write(platformtest.KeyTable, platformtest.MixedTable(host, names, singleService, top))
 	s.startProcesses(t, *stopPerZone, func(string) string { return s.store.Address() })
 	return s
 }
