forward, gateway: keep time for the way of the answer by the caller's measured round trip

Cause: answers that lack parts went out 12 ms before the target whatever the way to the caller. Change: the gateway asks the kernel for the round trip of the caller's connection and counts it twice for the first request of a connection; the instance's own work counts by its processor time (6 to 12 ms). Connections without an estimate keep the fixed margin.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -68,7 +68,7 @@
 		maxConnections: maxConnections,
 		request:        request,
 		crashes:        newCrashSuspicion(e, request),
-		timing:         newTiming(route, request, e.latencyEstimate(route)),
+		timing:         newTiming(route, request, e.latencyEstimate(route), e.ownWork),
 		shardRequests:  make([]*shardRequest, len(services)),
 	}
 	servers := 0
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -23,6 +23,7 @@
 	lateness          *lateShares
 	client            BackendClient
 	zone              string
+	ownWork           time.Duration // see ownWorkTime
 	relays            Relays
 	sharing           Sharing
 	onLatenessChange  func(LatenessChange)
@@ -39,14 +40,15 @@
 	RemoteInstances() int
 }
 
-// Config is the input of New. All fields are required.
+// Config is the input of New. All fields but Cores are required.
 type Config struct {
 	Directory        *directory.Directory
 	Tracker          *replicas.Tracker
 	Suspects         *suspects.Tracker
 	Budget           *retrybudget.Budget
 	Client           BackendClient
-	Zone             string // this instance's availability zone
+	Zone             string  // this instance's availability zone
+	Cores            float64 // processor time of this instance; 0 is unknown
 	Relays           Relays
 	Sharing          Sharing
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
--- a/pkg/forward/request.go
+++ b/pkg/forward/request.go
@@ -15,4 +15,7 @@
 	Body     []byte
 	Arrived  time.Time
 	Deadline time.Time // when the caller stops waiting; zero if the caller states none
+	// NetworkTime is how much of the caller's time the network takes: before Arrived, and for
+	// the way of the answer. It is 0 if it is unknown.
+	NetworkTime time.Duration
 }
--- a/pkg/forward/timing.go
+++ b/pkg/forward/timing.go
@@ -7,13 +7,6 @@
 )
 
 const (
-	// returnMarginShare is the share of the target that is kept for opening the caller's
-	// connection and for the way back, at least minReturnMargin: the target counts from
-	// the caller's first packet. Callers at large sites get their answers 10 ms later than
-	// the time that the instance logs, in the median; the rest is for the instance's own
-	// work.
-	returnMarginShare = 0.1
-	minReturnMargin   = 12 * time.Millisecond
 	// callerMargin is how long before the caller's deadline the request ends, so that the
 	// answer arrives in time.
 	callerMargin = 15 * time.Millisecond
@@ -51,12 +44,12 @@
 	return t.deadline
 }
 
-func newTiming(route *routing.Route, request *Request, latency time.Duration) timing {
+func newTiming(route *routing.Route, request *Request, latency, ownWork time.Duration) timing {
 	target := route.TargetLatency
 	if target <= 0 {
 		target = defaultTarget
 	}
-	margin := max(time.Duration(returnMarginShare*float64(target)), minReturnMargin)
+	margin := returnMargin(request, target, ownWork)
 	t := timing{
 		cutoff:   request.Arrived.Add(max(target-margin, target/2)),
 		deadline: request.Arrived.Add(defaultTimeout),
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -14,6 +14,7 @@
 	Path          string
 	Arrived       time.Time
 	CallerTimeout time.Duration // how long the caller waits; 0 if it stated no time
+	NetworkTime   time.Duration // of the caller's time that the network takes; 0 if it is unknown
 	Table         *routing.Table
 	Route         *routing.Route
 	Answer        *forward.Answer
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -51,7 +51,7 @@
 // newExchange returns the exchange of a request that has just arrived.
 func (g *Gateway) newExchange(r *http.Request) exchange {
 	id, callerTimeout := g.codec.ReadRequestFields(r.Header)
-	return exchange{ID: id, Method: r.Method, Path: r.URL.Path, Arrived: time.Now(), CallerTimeout: callerTimeout}
+	return exchange{ID: id, Method: r.Method, Path: r.URL.Path, Arrived: time.Now(), CallerTimeout: callerTimeout, NetworkTime: networkTime(r.Context())}
 }
 
 // finish writes the answer to a request and records the exchange.
@@ -76,13 +76,14 @@
 		return &forward.Answer{Refusal: refusal}
 	}
 	request := &forward.Request{
-		ID:      e.ID,
-		Method:  r.Method,
-		Target:  r.RequestURI,
-		Host:    r.Host,
-		Header:  EndToEnd(r.Header),
-		Body:    body,
-		Arrived: e.Arrived,
+		ID:          e.ID,
+		Method:      r.Method,
+		Target:      r.RequestURI,
+		Host:        r.Host,
+		Header:      EndToEnd(r.Header),
+		Body:        body,
+		Arrived:     e.Arrived,
+		NetworkTime: e.NetworkTime,
 	}
 	if e.CallerTimeout > 0 {
 		request.Deadline = e.Arrived.Add(e.CallerTimeout)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -163,6 +163,7 @@
 		Budget:           r.budget,
 		Client:           r.sender,
 		Zone:             s.Instance.Zone,
+		Cores:            s.Cores,
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
@@ -182,6 +183,7 @@
 		r.addListener(callerListener, s.Listen.Caller, &http.Server{
 			Handler:                      r.lifecycle.Handler(front),
 			BaseContext:                  r.lifecycle.BaseContext,
+			ConnContext:                  gateway.ConnContext,
 			ConnState:                    r.idleCloser.ConnState,
 			ReadHeaderTimeout:            readHeaderTimeout,
 			MaxHeaderBytes:               maxHeaderBytes,
