forward: the engine uses the time for its own work

Cause: the engine never took over the processor time from its settings, so answers at the cutoff went out without time for its own work. Change: New sets it; a test looks at the engine itself. Measured: TestEngineKeepsTimeForItsOwnWork fails before with 0s.

--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -69,6 +69,7 @@
 		lateness:         newLateShares(),
 		client:           config.Client,
 		zone:             config.Zone,
+		ownWork:          ownWorkTime(config.Cores),
 		relays:           config.Relays,
 		sharing:          config.Sharing,
 		onLatenessChange: config.OnLatenessChange,
--- a/pkg/forward/timing_test.go
+++ b/pkg/forward/timing_test.go
@@ -39,3 +39,12 @@
 	assert.Assert(t, left(2*time.Millisecond, 0.01) >= target-2*time.Millisecond-maxOwnWork, "a weak instance still waits for parts")
 	assert.Assert(t, left(time.Second, 1) >= target/2, "a round trip beyond the target leaves half of it")
 }
+
+// Guards against an engine that does not know the processor time of its instance: its answers at
+// the cutoff went out without time for its own work, and two thirds of the urgent ones were late.
+func TestEngineKeepsTimeForItsOwnWork(t *testing.T) {
+	weak, strong := New(Config{Cores: 0.192}), New(Config{Cores: 1})
+	assert.Equal(t, weak.ownWork, ownWorkTime(0.192))
+	assert.Equal(t, strong.ownWork, minOwnWork)
+	assert.Equal(t, New(Config{}).ownWork, maxOwnWork)
+}
