forward, peering: relays hedge in time for urgent requests, strong instances relay between zones

Cause: a relay held its hedges back until its sender could have given it up, 34 ms of a target of 60 or 80 ms, so that parts of servers that pause were missing from urgent answers. Relays in other zones were chosen in proportion to processor time, so that two thirds of them were weak instances that take as long to call 90 servers as their sender would. Change: a sender that uses a much stronger relay keeps it until the cutoff anyway and counts two servers for each shard from its own hedge delay on; its relay may hedge from then on. This holds for much stronger relays in other zones too. Instances beside much stronger ones in their zone are no relays. Measured: TestKeptRelayHedgesInTime fails before with a hedge after 43.5 ms.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -28,9 +28,9 @@
 	// maxConnections is the number of connections that a server of a service
 	// accepts from all instances.
 	maxConnections func(service string) int
-	// usesStrongerRelay is set when this instance hands the shards of its own zone to an
-	// instance with more processor time. This instance then reads acceptances late and
-	// could not ask the servers itself in time.
+	// usesStrongerRelay is set when this instance hands first attempts to an instance with
+	// much more processor time. This instance then reads acceptances late and could not ask
+	// the servers itself in time, so it keeps its relays until the cutoff.
 	usesStrongerRelay bool
 	servesPeer        bool // this instance is the relay; it does not relay first attempts again
 	chargedBySender   bool // every attempt is an extra one, which the sending instance has charged to its budget
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -174,6 +174,7 @@
 	if relay != nil && why == first && r.relayZone == "" {
 		// The other shards without a server in this zone use the same relay.
 		r.relayZone = zone
+		r.usesStrongerRelay = r.usesStrongerRelay || relay.Stronger()
 	}
 	return zone, relay
 }
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -24,6 +24,8 @@
 	// the call, then receive for each result. The last result is final unless Gather
 	// returns an error. A *CallError with Sent unset means that the call was not sent.
 	Gather(ctx context.Context, call *PartsCall, accepted func(), receive func(*PartsResult)) error
+	// Stronger reports whether the instance has much more processor time than this one.
+	Stronger() bool
 	// Failed records that the instance did not accept a call in time.
 	Failed()
 }
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -22,6 +22,7 @@
 	silent             bool // never accepts a call
 	diesAfterAccepting bool // is killed after it has accepted a call
 	refused            error
+	stronger           bool // has much more processor time than the sender
 }
 
 // addRelay adds an instance in the remote zone.
@@ -36,8 +37,9 @@
 func (noRelays) Pick(string) Relay { return nil }
 func (noRelays) Stronger() Relay   { return nil }
 
-func (relay *testRelay) ID() string { return "peer" }
-func (relay *testRelay) Failed()    { relay.failed++ }
+func (relay *testRelay) ID() string     { return "peer" }
+func (relay *testRelay) Failed()        { relay.failed++ }
+func (relay *testRelay) Stronger() bool { return relay.stronger }
 
 func (relay *testRelay) Gather(ctx context.Context, call *PartsCall, accepted func(), receive func(*PartsResult)) error {
 	relay.calls++
@@ -311,3 +313,27 @@
 		assert.Equal(t, relay.failed, 1)
 	})
 }
+
+// Guards against urgent answers without the parts of servers that pause: a relay that its sender
+// keeps until the cutoff waited with its hedges for as long as one that may be given up, 34 ms of
+// a target of 80 ms, and the hedges came too late.
+func TestKeptRelayHedgesInTime(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		route := tb.remoteShardedRoute(10)
+		tb.warmUp(route)
+		tb.addServer("s03", "s03.c", remoteZone)
+		tb.addRelay().stronger = true
+		attemptTimes := make(chan time.Time, 2)
+		for _, id := range []string{"s03.b", "s03.c"} {
+			tb.setBehaviour(id, func(ctx context.Context, call Call) (*Reply, error) {
+				attemptTimes <- time.Now()
+				return answersAfter(70*time.Millisecond)(ctx, call)
+			})
+		}
+		tb.ask(background, route)
+		first := <-attemptTimes
+		hedged := (<-attemptTimes).Sub(first)
+		delay := newTiming(route, &Request{Arrived: first}, tb.engine.latencyEstimate(route), 0).hedgeDelay
+		assert.Assert(t, hedged >= delay && hedged < time.Duration(acceptanceShare*float64(route.TargetLatency)), "hedged after %v", hedged)
+	})
+}
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -86,7 +86,7 @@
 		Target:          r.route.TargetLatency,
 		Cutoff:          r.timing.cutoff.Add(-relayMargin),
 		Deadline:        r.timing.deadline,
-		HedgeAfter:      r.acceptanceTimeout() + cancelDelay,
+		HedgeAfter:      r.relayHedgeDelay(),
 		ChargedBySender: rc.extra,
 		Merge:           !rc.extra,
 	}
@@ -133,6 +133,17 @@
 	return max(time.Duration(acceptanceShare*float64(r.route.TargetLatency)), minAcceptanceTimeout)
 }
 
+// relayHedgeDelay returns how long a relay must not hedge, so that no third server is asked: until
+// a sender that gives up the relay has done so. A sender that keeps its relay until the cutoff
+// counts two servers for each shard from its own hedge delay on, so its relay hedges in time for
+// urgent requests.
+func (r *activeRequest) relayHedgeDelay() time.Duration {
+	if r.usesStrongerRelay {
+		return r.timing.hedgeDelay
+	}
+	return r.acceptanceTimeout() + cancelDelay
+}
+
 // abandonUnacceptedCalls gives up the calls that relays have not accepted in time and
 // asks the backend servers directly.
 func (r *activeRequest) abandonUnacceptedCalls(now time.Time) {
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -62,11 +62,11 @@
 	next := &ranking{view: v, byZone: make(map[string][]Member)}
 	for zone, usable := range v.usable {
 		if zone != "" {
-			next.byZone[zone] = topRanked(self.ID, usable)
+			next.byZone[zone] = topRanked(self.ID, strongest(usable))
 		}
 	}
 	next.stronger = topRanked(self.ID, slices.DeleteFunc(slices.Clone(v.usable[self.Zone]), func(m Member) bool {
-		return float64(m.Millicores) < strongerFactor*float64(self.Millicores)
+		return !muchStronger(m, self)
 	}))
 	r.ranking = next
 	return next
@@ -106,6 +106,18 @@
 	return sorted[:min(relaysPerZone, len(sorted))]
 }
 
+// strongest returns the members to which no other one is much stronger. A weak relay takes so long
+// to call the servers of all shards that urgent answers miss its parts.
+func strongest(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
+		return slices.ContainsFunc(members, func(other Member) bool { return muchStronger(other, m) })
+	})
+}
+
+func muchStronger(member, than Member) bool {
+	return member.Millicores > than.Millicores && float64(member.Millicores) >= strongerFactor*float64(than.Millicores)
+}
+
 // inOtherZones returns the relays of all other zones.
 func (r *Relays) inOtherZones() []Member {
 	self := r.members.Self().Zone
@@ -143,6 +155,8 @@
 
 func (r *relay) ID() string { return r.member.ID }
 
+func (r *relay) Stronger() bool { return muchStronger(r.member, r.relays.members.Self()) }
+
 func (r *relay) Failed() { r.relays.members.RecordCall(r.member.ID, false) }
 
 func (r *relay) Gather(ctx context.Context, call *forward.PartsCall, accepted func(), receive func(*forward.PartsResult)) error {
