directory: zones that the operator drains

Requests reached backend servers of a zone that the operator evacuates: the key op/evacuate/ZONE was ignored. The directory now has a set of drained zones. Their servers are in no list, are not sent to after they were chosen, and attempts that wait for a connection to them choose again without being counted or charged. A complete read replaces the set. One log line for each change; the metric drained_zones shows for how many seconds each zone is drained.

The zone's return is not ramped yet.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -26,7 +26,8 @@
 
 	mu        sync.RWMutex
 	byID      map[string]*Server
-	byService map[string][]*Server // slices are shared with callers: replaced, never modified
+	byService map[string][]*Server // without drained zones; slices are shared with callers: replaced, never modified
+	drained   map[string]time.Time // zones that the operator has drained, and since when
 	// statedLeaving holds when servers said in a reply that they leave, by Server.Key. The
 	// platform's list may never say so, or this instance may not reach it.
 	statedLeaving map[string]time.Time
@@ -40,6 +41,7 @@
 		now:            now,
 		byID:           make(map[string]*Server),
 		byService:      make(map[string][]*Server),
+		drained:        make(map[string]time.Time),
 		statedLeaving:  make(map[string]time.Time),
 	}
 }
@@ -164,16 +166,18 @@
 }
 
 // MayUse reports whether a server that was chosen earlier may still get a request: the same
-// run of it is listed, and if it leaves, its last-resort time has not expired.
+// run of it is listed in a zone that is not drained, and if it leaves, its last-resort time has
+// not expired.
 func (d *Directory) MayUse(server *Server) bool {
 	listed := d.listed(server)
-	return listed != nil && (!listed.Leaving() || !d.lastResortExpired(listed, d.now()))
+	return listed != nil && !listed.drained && (!listed.Leaving() || !d.lastResortExpired(listed, d.now()))
 }
 
-// HasBegunToLeave reports whether a server that was chosen while it stayed leaves now.
+// HasBegunToLeave reports whether a server that was chosen while it stayed leaves now, or its
+// zone has been drained since.
 func (d *Directory) HasBegunToLeave(server *Server) bool {
 	listed := d.listed(server)
-	return !server.Leaving() && listed != nil && listed.Leaving()
+	return listed != nil && (listed.drained || !server.Leaving() && listed.Leaving())
 }
 
 // listed returns the current state of this run of a server, or nil.
@@ -238,10 +242,14 @@
 	return now.Sub(server.LeavingSince) > d.lastResortTime
 }
 
-// ServersInZone returns the servers of an availability zone that are not leaving.
+// ServersInZone returns the servers of an availability zone that are not leaving, and none for
+// a drained zone.
 func (d *Directory) ServersInZone(zone string) []*Server {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
+	if d.isDrainedLocked(zone) {
+		return nil
+	}
 	var out []*Server
 	for _, server := range d.byID {
 		if server.Zone == zone && !server.Leaving() {
@@ -270,14 +278,15 @@
 func (d *Directory) replaceLocked(old, next *Server) {
 	if next != nil {
 		next.leaves = nil
+		next.drained = d.isDrainedLocked(next.Zone)
 	}
 	switch {
-	case next != nil && !next.Leaving() && old != nil && !old.Leaving() && next.Key() == old.Key():
+	case next != nil && next.stays() && old != nil && old.stays() && next.Key() == old.Key():
 		next.leaves = old.leaves
-	case old != nil && !old.Leaving():
+	case old != nil && old.stays():
 		close(old.leaves)
 	}
-	if next != nil && !next.Leaving() && next.leaves == nil {
+	if next != nil && next.stays() && next.leaves == nil {
 		next.leaves = make(chan struct{})
 	}
 	if old != nil {
@@ -286,14 +295,18 @@
 		d.setServiceLocked(old.Service, list)
 		delete(d.byID, old.ID)
 	}
-	if next != nil {
-		list := append(slices.Clone(d.byService[next.Service]), next)
-		// Sorting by ID makes the choice among equal replicas independent of the order
-		// in which their entries arrived.
-		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
-		d.setServiceLocked(next.Service, list)
-		d.byID[next.ID] = next
+	if next == nil {
+		return
+	}
+	d.byID[next.ID] = next
+	if next.drained {
+		return
 	}
+	list := append(slices.Clone(d.byService[next.Service]), next)
+	// Sorting by ID makes the choice among equal replicas independent of the order in which
+	// their entries arrived.
+	slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
+	d.setServiceLocked(next.Service, list)
 }
 
 func (d *Directory) setServiceLocked(service string, list []*Server) {
--- /dev/null
+++ b/pkg/directory/drainedzone_test.go
@@ -0,0 +1,64 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sycamorelift/sycamorelift/pkg/membership"
+)
+
+// entryIn returns the entry of a server in a zone.
+func entryIn(zone, id string, state membership.State) Entry {
+	e := entry(id, 1, state)
+	e.Server.Zone = zone
+	return e
+}
+
+// Guards against a server of a drained zone in any list, also as a last resort and when its
+// entry is written anew, and against a zone that does not return.
+func TestServersOfDrainedZoneAreNotUsed(t *testing.T) {
+	for name, change := range map[string]func(d *testDirectory){
+		"drained":               func(*testDirectory) {},
+		"entry written anew":    func(d *testDirectory) { d.Put(entryIn("z0", "a", membership.StateLive)) },
+		"server leaves":         func(d *testDirectory) { d.Put(entryIn("z0", "a", membership.StateLeaving)) },
+		"entry gone":            func(d *testDirectory) { d.Remove("a") },
+		"complete list":         func(d *testDirectory) { d.Replace([]Entry{entryIn("z0", "a", membership.StateLive)}) },
+		"server new":            func(d *testDirectory) { d.Put(entryIn("z0", "new", membership.StateLive)) },
+		"server moves there":    func(d *testDirectory) { d.Put(entryIn("z0", "b", membership.StateLive)) },
+		"other zone drained":    func(d *testDirectory) { d.DrainZone("z1") },
+		"drained a second time": func(d *testDirectory) { d.DrainZone("z0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestDirectory()
+			d.Put(entryIn("z0", "a", membership.StateLive))
+			chosen := d.Servers("s")[0]
+			d.Put(entryIn("z1", "b", membership.StateLive))
+			assert.Equal(t, *d.DrainZone("z0"), ZoneChange{Zone: "z0", Drained: true, Servers: 1})
+			change(d)
+			for _, list := range [][]*Server{d.Servers("s"), d.LastResort("s"), d.ServersInZone("z0")} {
+				for _, server := range list {
+					assert.Assert(t, server.Zone != "z0", server.ID)
+				}
+			}
+			assert.Assert(t, !d.MayUse(chosen) && closed(chosen.Leaves()) && d.HasBegunToLeave(chosen))
+			d.ReturnZone("z0")
+			d.Put(entryIn("z0", "a", membership.StateLive))
+			assert.Assert(t, d.MayUse(chosen))
+			back := d.Servers("s")[0]
+			assert.Assert(t, back.ID == "a" && !closed(back.Leaves()))
+			assert.Equal(t, len(d.DrainedZones()), map[bool]int{true: 1}[name == "other zone drained"])
+		})
+	}
+}
+
+// Guards against a complete list that leaves a zone drained whose key has gone.
+func TestCompleteListReturnsOtherZones(t *testing.T) {
+	d := newTestDirectory()
+	d.DrainZone("z0")
+	d.now = d.now.Add(time.Second)
+	d.DrainZone("z1")
+	assert.DeepEqual(t, d.ReturnOtherZones([]string{"z1"}), []ZoneChange{{Zone: "z0"}})
+	assert.DeepEqual(t, d.DrainedZones(), []DrainedZone{{Zone: "z1", Since: d.now}})
+}
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -18,15 +18,20 @@
 	// entry is gone; zero for a server that is not leaving.
 	LeavingSince time.Time
 
-	leaves chan struct{} // closed when this run of the server begins to leave; nil once it leaves
+	drained bool          // the operator has drained the server's zone
+	leaves  chan struct{} // closed when this run of the server begins to leave or its zone is drained; nil afterwards
 }
 
 // Leaving reports whether the server drains or is no longer listed. Such a server is used
 // only if no other one can be.
 func (s *Server) Leaving() bool { return !s.LeavingSince.IsZero() }
 
-// Leaves returns a channel that is closed when this run of the server begins to leave, or is
-// replaced by another one. The channel is nil if the server is leaving already.
+// stays reports whether the server neither leaves nor is in a drained zone.
+func (s *Server) stays() bool { return !s.Leaving() && !s.drained }
+
+// Leaves returns a channel that is closed when this run of the server begins to leave, is
+// replaced by another one, or when its zone is drained. The channel is nil if the server is
+// leaving already.
 func (s *Server) Leaves() <-chan struct{} { return s.leaves }
 
 // Key identifies one run of the server's process at one address.
--- a/pkg/feed/fakes_test.go
+++ b/pkg/feed/fakes_test.go
@@ -17,7 +17,8 @@
 var errUnavailable = errors.New("store is down")
 
 // fakeStore is a store with a history of changes, in a format for tests: the key "table"
-// holds a version, and each key "server/ID" holds the state of a server.
+// holds a version, each key "server/ID" holds the state of a server, and each key
+// "drained/ZONE" drains a zone.
 type fakeStore struct {
 	cache *watchCache
 
@@ -132,6 +133,9 @@
 		}
 		return Decoded{ServerID: id, Entry: &directory.Entry{Server: membership.BackendServer{ID: id, Service: "s", State: membership.State(value)}}}
 	}
+	if zone, ok := strings.CutPrefix(item.Key, "drained/"); ok {
+		return Decoded{DrainedZone: zone}
+	}
 	if item.Key != "table" || item.Removed {
 		return Decoded{}
 	}
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -185,6 +185,7 @@
 // applyAll puts a complete list of items in force.
 func (f *Follower) applyAll(b Batch, origin string) {
 	var entries []directory.Entry
+	var drainedZones []string
 	var table *routing.Table
 	var tableItem Item
 	for _, item := range b.Items {
@@ -196,10 +197,21 @@
 		if decoded.Entry != nil {
 			entries = append(entries, *decoded.Entry)
 		}
+		if decoded.DrainedZone != "" && !item.Removed {
+			drainedZones = append(drainedZones, decoded.DrainedZone)
+		}
+	}
+	// Zones are drained before their servers are listed, and return after that, so that
+	// no server of a drained zone is in use in between.
+	for _, zone := range drainedZones {
+		f.logZoneChange(f.directory.DrainZone(zone), b.Revision)
 	}
 	for _, change := range f.directory.Replace(entries) {
 		f.logChange(change, b.Revision)
 	}
+	for _, change := range f.directory.ReturnOtherZones(drainedZones) {
+		f.logZoneChange(&change, b.Revision)
+	}
 	// The table comes last: requests that wait for it need the backend servers as well.
 	f.adoptTable(tableItem, table, origin)
 	staying, leaving := f.directory.Count()
@@ -213,6 +225,10 @@
 		f.logDecodeError(item, decoded)
 		f.adoptTable(item, decoded.Table, origin)
 		switch {
+		case decoded.DrainedZone != "" && item.Removed:
+			f.logZoneChange(f.directory.ReturnZone(decoded.DrainedZone), item.Revision)
+		case decoded.DrainedZone != "":
+			f.logZoneChange(f.directory.DrainZone(decoded.DrainedZone), item.Revision)
 		case decoded.ServerID == "":
 		case decoded.Entry == nil:
 			f.logChange(f.directory.Remove(decoded.ServerID), item.Revision)
@@ -246,6 +262,18 @@
 	f.logger.Info("backend server "+string(change.Kind), "backend_server", change.ID, "service", change.Service, "revision", revision)
 }
 
+// logZoneChange logs that a zone was drained or has returned; change is nil if nothing changed.
+func (f *Follower) logZoneChange(change *directory.ZoneChange, revision int64) {
+	if change == nil {
+		return
+	}
+	message := "zone returned"
+	if change.Drained {
+		message = "zone drained"
+	}
+	f.logger.Info(message, "zone", change.Zone, "backend_servers", change.Servers, "revision", revision)
+}
+
 func (f *Follower) logDecodeError(item Item, decoded Decoded) {
 	if decoded.Err != nil {
 		f.logger.Warn("published item cannot be used", "key", item.Key, "revision", item.Revision, "error", decoded.Err)
--- a/pkg/feed/source.go
+++ b/pkg/feed/source.go
@@ -52,11 +52,12 @@
 	Decode(item Item) Decoded
 }
 
-// Decoded is the content of an item. At most one of Table and ServerID is set; neither
-// is set for an item that does not concern this product.
+// Decoded is the content of an item. At most one of Table, ServerID and DrainedZone is set;
+// none is set for an item that does not concern this product.
 type Decoded struct {
-	Table    *routing.Table
-	ServerID string
-	Entry    *directory.Entry // nil when the entry was removed or names no usable server
-	Err      error            // why the item cannot be used
+	Table       *routing.Table
+	ServerID    string
+	Entry       *directory.Entry // nil when the entry was removed or names no usable server
+	DrainedZone string           // zone that the operator drains; it returns when the item is removed
+	Err         error            // why the item cannot be used
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -145,6 +145,13 @@
 		staying, leaving := r.directory.Count()
 		return map[string]int{"staying": staying, "leaving": leaving}
 	})
+	r.registry.Func("drained_zones", func() any {
+		seconds := make(map[string]int64) // since when, by zone
+		for _, z := range r.directory.DrainedZones() {
+			seconds[z.Zone] = int64(time.Since(z.Since).Seconds())
+		}
+		return seconds
+	})
 	r.registry.Func("backend_connections", func() any { return r.sender.Connections() })
 	r.registry.Func("requests_in_flight", func() any { return r.lifecycle.InFlight() })
 	r.registry.Func("log_records_dropped", func() any { return r.options.DroppedLogs() })
