--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -140,11 +140,17 @@
 }
 
 // awaitReady waits until this instance has read the table and the backend servers.
-// Requests that arrive at a starting instance wait here.
+// Requests that arrive at a starting instance wait here, but not while the store does not
+// answer: they are refused while their callers still have the time to try again.
 func (f *Follower) awaitReady(ctx context.Context) (*routing.Table, bool) {
+	f.mu.Lock()
+	storeLost := f.storeLost
+	f.mu.Unlock()
 	select {
 	case <-f.ready:
 		return f.Table(), true
+	case <-storeLost:
+		return f.Table(), false
 	case <-ctx.Done():
 		return nil, false
 	}
--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -431,3 +431,25 @@
 		}
 	})
 }
+
+// Guards against a starting instance that holds requests until their callers give up while the
+// store is away: after a loss of all instances beside an outage of the store, a tenth of the
+// requests of a window ended at the caller's deadline without an answer.
+func TestStartWithoutTheStoreHoldsNoRequest(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		store.setDown(true)
+		f := startFollower(ctx, store, noPeers{})
+		time.Sleep(propagationTime)
+		began := time.Now()
+		waiting, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, ready := f.Confirm(waiting)
+		assert.Assert(t, !ready)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		store.setDown(false)
+		<-f.Ready()
+		table, ready := f.Confirm(ctx)
+		assert.Assert(t, ready)
+		assert.Equal(t, table.Version(), int64(1))
+	})
+}
