suspects: losses side by side count by run of the server

Losses whose attempts overlapped counted once, so a request that crashed four servers at once was sent on until it had done so three times. Reports date losses some milliseconds late, so that also losses one after the other could overlap at the instance that a report reached.

Each run of a server now counts, and three losses quarantine the request. A sharded request in progress waits for its attempts in flight, and with none left asks at most two more servers within a second, since a request beside a crashing one loses all its parts at once. Its losses are reported when its last attempt has ended. A request that is not sharded is held back for a random time, at most a quarter of its target, when one more loss would quarantine it. Attempts that wait for a connection are withdrawn when the request is quarantined.

TestLossesSideBySideCountOnce encoded the old rule and is replaced by TestLossesSideBySideCountEach.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -81,7 +81,7 @@
 	forward.AnswerLost:      "failed because a backend server may have run the request and its answer was lost",
 	forward.CallerLeft:      "given up because the caller had left",
 	forward.ShuttingDown:    "ended because the instance shut down",
-	forward.CrashSuspect:    "refused because backend servers were lost under the same request one after the other",
+	forward.CrashSuspect:    "refused because several backend servers were lost under the same request",
 	forward.ViewUnconfirmed: "refused because no route matches and the store did not confirm the table (shortage)",
 }
 
--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -67,7 +67,7 @@
 		route:          route,
 		maxConnections: maxConnections,
 		request:        request,
-		crashes:        newCrashSuspicion(e, request),
+		crashes:        newCrashSuspicion(e, request, route.Sharded()),
 		timing:         newTiming(route, request, e.latencyEstimate(route)),
 		shardRequests:  make([]*shardRequest, len(services)),
 	}
@@ -93,10 +93,11 @@
 	return r
 }
 
-// release drops one reference and cancels the context of the attempts once neither the
-// request nor an attempt needs it.
+// release drops one reference. Once neither the request nor an attempt is left, it makes the
+// report of losses that is due and cancels the context of the attempts.
 func (r *activeRequest) release() {
 	if r.refCount.Add(-1) == 0 {
+		r.crashes.attemptsEnded()
 		r.cancel()
 	}
 }
@@ -104,7 +105,8 @@
 // waitForAnswer forwards the request and returns its answer.
 func (r *activeRequest) waitForAnswer(ctx context.Context) *Answer {
 	defer r.markNoLongerNeeded()
-	defer r.crashes.requestEnded()
+	defer r.requestEnded()
+	r.holdBack(ctx)
 	if refused := r.refuseIfUnanswerable(time.Now()); refused != nil {
 		refused.Trace = r.finishTrace()
 		return refused
--- a/pkg/forward/crashing_test.go
+++ b/pkg/forward/crashing_test.go
@@ -228,8 +228,32 @@
 				assert.Assert(t, lost > 0)
 				assert.Equal(t, tb.reports.Load(), int32(0))
 				request := &Request{ID: "id", Method: "GET", Target: "/x/1"}
-				assert.Assert(t, !newCrashSuspicion(tb.engine, request).verdict(time.Now()).Suspected())
+				assert.Assert(t, !newCrashSuspicion(tb.engine, request, route.Sharded()).verdict(time.Now()).Suspected())
 			})
 		})
 	}
 }
+
+// Guards against losing a server at each instance to copies of a request that arrive at the
+// same moment, when a single further loss suffices to quarantine it.
+func TestCopiesOfASuspectedRequestAreHeldBack(t *testing.T) {
+	const rounds, copies = 20, 4
+	crashed := 0
+	for range rounds {
+		simulate(t, func(t *testing.T, tb *testbed) {
+			route := tb.wideRoute(12)
+			route.Repeatable = false
+			scene := newCrashScene(tb, copies)
+			for n := range suspects.MaxLosses - 1 {
+				scene.send(route, n, crashingTarget)
+			}
+			var group sync.WaitGroup
+			for n := range copies {
+				group.Go(func() { scene.send(route, n, crashingTarget) })
+			}
+			group.Wait()
+			crashed += len(scene.crashedAt) - (suspects.MaxLosses - 1)
+		})
+	}
+	assert.Assert(t, crashed < 2*rounds, "%d servers lost to %d copies in each of %d rounds", crashed, copies, rounds)
+}
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,14 +16,38 @@
 type crashSuspicion struct {
 	engine      *Engine
 	fingerprint uint64
+	sharded     bool
 	answered    atomic.Bool // a server has answered the request, so it does not crash servers
 	lost        atomic.Bool // a connection was lost under this request, here or at a relay
-	ended       atomic.Bool // the caller has its answer
+	ended       atomic.Bool // the caller has its answer, or the sender its result
+	// reportDue is set when the losses are to be reported after the last attempt has ended.
+	reportDue atomic.Bool
+	// probes counts the attempts that began under suspicion. Only the goroutine of the request
+	// uses it.
+	probes int
 }
 
-func newCrashSuspicion(e *Engine, request *Request) *crashSuspicion {
+const (
+	// maxProbes is the number of further servers that a sharded request in progress asks, one
+	// at a time, after it has become suspected. The loss of all its parts at once may be due to
+	// another request, and one reply clears it.
+	maxProbes = suspects.MaxLosses - 1
+	// probeTime is how long after a request was quarantined its attempts may still begin. It is
+	// well below the 4 s after which a crashing request may reach three more servers only.
+	probeTime = time.Second
+
+	// maxHoldBack and holdBackShare bound how long a request that is not sharded is held back
+	// when one more loss would quarantine it: the share is one of the route's target. A caller
+	// may repeat it at several instances at the same moment, and a loss at one of them is known
+	// at the others after the time until the server crashes and some milliseconds.
+	maxHoldBack   = 300 * time.Millisecond
+	holdBackShare = 0.25
+)
+
+func newCrashSuspicion(e *Engine, request *Request, sharded bool) *crashSuspicion {
 	return &crashSuspicion{
 		engine:      e,
+		sharded:     sharded,
 		fingerprint: crashguard.Fingerprint(request.Host, request.Method, request.Target, string(request.Body)),
 	}
 }
@@ -53,7 +79,11 @@
 	case res.err.ConnectionLost && !c.answered.Load():
 		c.lost.Store(true)
 		c.engine.suspects.RecordLoss(c.fingerprint, suspects.Loss{Server: res.server.Key(), Began: res.started, Ended: now})
-		if c.ended.Load() {
+		switch {
+		case !c.ended.Load(): // requestEnded reports it
+		case c.sharded:
+			c.reportDue.Store(true)
+		default:
 			c.report(now)
 		}
 	}
@@ -76,10 +106,22 @@
 
 // requestEnded tells the other instances if the request ends under suspicion and has added to
 // it: its caller may repeat it at any of them. A relay leaves that to the instance that has the
-// caller, which knows whether other shards have answered.
-func (c *crashSuspicion) requestEnded() {
-	c.ended.Store(true)
-	c.report(time.Now())
+// caller, which knows whether other shards have answered. A sharded request that is refused
+// while attempts are in flight is reported after the last of them, which may still clear it.
+func (r *activeRequest) requestEnded() {
+	r.crashes.ended.Store(true)
+	if r.route.Sharded() && r.refCount.Load() > 1 {
+		r.crashes.reportDue.Store(true)
+		return
+	}
+	r.crashes.report(time.Now())
+}
+
+// attemptsEnded makes the report that was put off until the last attempt has ended.
+func (c *crashSuspicion) attemptsEnded() {
+	if c.reportDue.Swap(false) {
+		c.report(time.Now())
+	}
 }
 
 func (c *crashSuspicion) report(now time.Time) {
@@ -91,10 +133,52 @@
 	}
 }
 
+// holdBack delays a request that one more loss would quarantine for a random time, so that
+// copies of it at several instances do not all begin before the first of them is lost. Sharded
+// requests are not delayed: under suspicion they ask one server at a time.
+func (r *activeRequest) holdBack(ctx context.Context) {
+	if r.route.Sharded() || r.crashes.verdict(time.Now()).Losses != suspects.MaxLosses-1 {
+		return
+	}
+	longest := min(maxHoldBack, time.Duration(holdBackShare*float64(r.route.TargetLatency)))
+	if longest <= 0 {
+		return
+	}
+	select {
+	case <-time.After(rand.N(longest)):
+	case <-ctx.Done():
+	}
+	for _, s := range r.shardRequests {
+		s.servers = r.engine.directory.Servers(s.service)
+	}
+}
+
+// leaveToSender ends the request at a relay, whose sender has the final result. Losses that
+// follow are reported from here.
+func (c *crashSuspicion) leaveToSender() { c.ended.Store(true) }
+
+// mayProbe reports whether the request in progress may ask one more server although it is
+// suspected. A request in quarantine that is not sharded may not, and a relay leaves it to its
+// sender, which knows of the losses at all relays.
+func (r *activeRequest) mayProbe(verdict suspects.Verdict, now time.Time) bool {
+	if !verdict.Quarantined() {
+		return true
+	}
+	return !r.isBarred(verdict, now) && !r.servesPeer && r.crashes.probes < maxProbes
+}
+
+// isBarred reports whether the request may not reach any further server, also not with
+// attempts that wait for a connection. Those of a sharded request may be sent for probeTime,
+// since a reply to one of them clears it.
+func (r *activeRequest) isBarred(verdict suspects.Verdict, now time.Time) bool {
+	return verdict.Quarantined() && (!r.route.Sharded() || !now.Before(verdict.Since.Add(probeTime)))
+}
+
 // mustProbe reports whether an attempt has to wait for the outcome of another one. A
-// sharded request that is suspected asks one server at a time, until a reply clears it.
-func (r *activeRequest) mustProbe(s *shardRequest, now time.Time) bool {
-	if !r.route.Sharded() || !r.crashes.verdict(now).Suspected() {
+// sharded request that is suspected asks one server at a time, until a reply clears it. One
+// in quarantine is given up only when none of its attempts is left that may still clear it.
+func (r *activeRequest) mustProbe(s *shardRequest, verdict suspects.Verdict) bool {
+	if !r.route.Sharded() || !verdict.Suspected() {
 		return false
 	}
 	for _, other := range r.shardRequests {
@@ -110,7 +194,7 @@
 
 // refuseCrashSuspect refuses a request in quarantine.
 func (r *activeRequest) refuseCrashSuspect(verdict suspects.Verdict, now time.Time) *Answer {
-	answer := r.refuse(CrashSuspect, fmt.Sprintf("%d backend servers in a row were lost while they ran request %s",
+	answer := r.refuse(CrashSuspect, fmt.Sprintf("%d backend servers were lost while they ran request %s",
 		verdict.Losses, crashguard.FormatFingerprint(r.crashes.fingerprint)))
 	answer.Refusal.RetryAfter = verdict.RetryAfter(now)
 	return answer
--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -77,13 +77,14 @@
 
 // lossReason returns why no server has answered the lost shard requests.
 func (r *activeRequest) lossReason() Reason {
-	asked, mayHaveRun := false, false
+	asked, mayHaveRun, inFlight := false, false, false
 	for _, s := range r.shardRequests {
+		inFlight = inFlight || s.inFlight > 0
 		asked = asked || s.lost && s.arrivals > 0
 		mayHaveRun = mayHaveRun || s.lost && s.mayHaveRun
 	}
 	switch {
-	case r.crashes.verdict(time.Now()).Quarantined():
+	case !inFlight && r.crashes.verdict(time.Now()).Quarantined():
 		return CrashSuspect
 	case r.route.Sharded() && asked:
 		return TooFewShards
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -39,10 +39,17 @@
 	if !r.mayLaunch(s, why, now) {
 		return false
 	}
-	if r.mustProbe(s, now) {
+	verdict := r.crashes.verdict(now)
+	if why == hedge && verdict.Suspected() {
+		return false
+	}
+	if r.mustProbe(s, verdict) {
 		s.waiting = true
 		return true
 	}
+	if !r.mayProbe(verdict, now) {
+		return false
+	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
 		s.servers = r.engine.directory.Servers(s.service)
@@ -62,7 +69,13 @@
 		return true
 	}
 	s.waiting = false
-	return r.start(s, choice, why, now)
+	if !r.start(s, choice, why, now) {
+		return false
+	}
+	if verdict.Suspected() {
+		r.crashes.probes++
+	}
+	return true
 }
 
 // start starts an attempt at the chosen server, and returns false if the budget does not
@@ -204,9 +217,6 @@
 	if why != first && r.tooLate(s, now) {
 		return false
 	}
-	if verdict := r.crashes.verdict(now); verdict.Quarantined() || why == hedge && verdict.Suspected() {
-		return false
-	}
 	return why == first || r.route.Repeatable || !s.mayHaveRun && s.inFlight == 0
 }
 
@@ -253,12 +263,18 @@
 		NewConnection: !r.route.Repeatable,
 		Until:         until,
 		Leaves:        server.Leaves(),
-		Send:          func() bool { return r.engine.directory.MayUse(server) && state.Send() },
+		Send:          func() bool { return r.maySend(server, time.Now()) && state.Send() },
 	}
 	tracked := r.engine.tracker.Begin(server, r.route.Name, now, r.replyDue(due, now))
 	go r.attempt(attemptResult{shardIndex: s.index, server: server, runState: state, started: now}, call, tracked)
 }
 
+// maySend reports whether an attempt that has waited for a connection may still be sent. It is
+// safe for concurrent use.
+func (r *activeRequest) maySend(server *directory.Server, now time.Time) bool {
+	return r.engine.directory.MayUse(server) && !r.isBarred(r.crashes.verdict(now), now)
+}
+
 // replyDue returns when the tracker should expect the reply to an attempt that starts now.
 // After the cutoff every reply is late, so its time says nothing about the server.
 func (r *activeRequest) replyDue(due, now time.Time) time.Time {
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -45,7 +45,12 @@
 	}
 	r.wakeAt = mergeUntil
 	p := &partsSender{request: r, call: call, emit: emit, sent: make([]bool, len(r.shardRequests)), mergeUntil: mergeUntil}
-	return r.loop(ctx, p.sendDue)
+	if !r.loop(ctx, p.sendDue) {
+		r.requestEnded() // the sender has no final result and thus does not know of the losses
+		return false
+	}
+	r.crashes.leaveToSender()
+	return true
 }
 
 // partsSender sends the parts of a request to the instance that has asked for them.
--- a/pkg/forward/reservation.go
+++ b/pkg/forward/reservation.go
@@ -54,7 +54,7 @@
 	r.dropReservation(s, now)
 	s.servers = r.engine.directory.Servers(s.service)
 	started := false
-	if r.mayLaunch(s, first, now) && slices.ContainsFunc(s.servers, func(server *directory.Server) bool { return server.Key() == choice.Server.Key() }) {
+	if r.mayLaunch(s, first, now) && !r.crashes.verdict(now).Suspected() && slices.ContainsFunc(s.servers, func(server *directory.Server) bool { return server.Key() == choice.Server.Key() }) {
 		started = r.start(s, choice, first, now)
 	} else {
 		started = r.launch(s, first)
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -36,6 +36,8 @@
 	relays    map[string]Relay    // by zone
 	suspects  []*suspects.Tracker // of all instances
 	reports   atomic.Int32        // of suspects
+	// reportDelay returns how long a report takes; nil means that it arrives at once.
+	reportDelay func() time.Duration
 
 	mu       sync.Mutex
 	servers  map[string]behaviour // by id; a server without an entry answers after work
@@ -71,7 +73,11 @@
 		OnSuspect: func(s suspects.Suspect) {
 			tb.reports.Add(1)
 			for _, other := range tb.suspects {
-				other.Merge(s)
+				if tb.reportDelay == nil {
+					other.Merge(s)
+					continue
+				}
+				time.AfterFunc(tb.reportDelay(), func() { other.Merge(s) })
 			}
 		},
 	})
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -38,6 +38,9 @@
 		return // the answer goes out without the waiting shard requests
 	}
 	for _, s := range r.shardRequests {
+		if s.isComplete() {
+			s.waiting = false // a slower attempt has answered meanwhile
+		}
 		if !s.waiting {
 			continue
 		}
--- a/pkg/suspects/limits.go
+++ b/pkg/suspects/limits.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// MaxLosses is the number of consecutive losses that quarantines a request. A request
-	// without fault reaches it only if three servers in a row are lost under it.
+	// MaxLosses is the number of lost runs of servers that quarantines a request. A request
+	// without fault reaches it only if three servers are lost under it before any answers.
 	MaxLosses = 3
 	// QuarantineTime is how long after its latest loss a request is suspected.
 	QuarantineTime = 10 * time.Minute
@@ -21,8 +21,8 @@
 	maxSuspects = 4096
 	// successGeneration is how many requests with a success are remembered, twice.
 	successGeneration = 2048
-	// maxLossesKept exceeds MaxLosses: reports may arrive out of order, so that a loss that
-	// does not count now may count later.
+	// maxLossesKept exceeds MaxLosses: losses that are refuted later leave others that count,
+	// and refuted losses are kept as well.
 	maxLossesKept = 8
 	// maxShared is the number of suspects that Shared returns.
 	maxShared = 64
--- a/pkg/suspects/loss.go
+++ b/pkg/suspects/loss.go
@@ -11,18 +11,14 @@
 	Refuted bool
 }
 
-// consecutive returns the indices of the losses that happened one after the other: an
-// attempt that began before the previous loss was known belongs to it. The losses are in the
-// order of their ends. Refuted losses do not count.
-func consecutive(losses []Loss) []int {
-	var counted []int
-	var last time.Time
+// counted returns the indices of the losses that count: all that are not refuted, whether or
+// not their attempts overlapped.
+func counted(losses []Loss) []int {
+	var indices []int
 	for i, loss := range losses {
-		if loss.Refuted || len(counted) > 0 && loss.Began.Before(last) {
-			continue
+		if !loss.Refuted {
+			indices = append(indices, i)
 		}
-		counted = append(counted, i)
-		last = loss.Ended
 	}
-	return counted
+	return indices
 }
--- a/pkg/suspects/suspect.go
+++ b/pkg/suspects/suspect.go
@@ -36,19 +36,18 @@
 	if len(s.Losses) <= maxLossesKept {
 		return true, ""
 	}
-	dropped = s.dropUncounted()
+	dropped = s.dropOne()
 	return dropped != loss.Server, dropped
 }
 
-// dropUncounted drops the last loss that does not count, or the last one if all do. It
-// returns the server of that loss.
-func (s *Suspect) dropUncounted() string {
-	dropped := len(s.Losses) - 1
-	for counted := consecutive(s.Losses); dropped >= 0 && slices.Contains(counted, dropped); {
-		dropped--
-	}
-	if dropped < 0 {
-		dropped = len(s.Losses) - 1
+// dropOne drops the last loss that counts, as long as enough are left for a quarantine, and
+// otherwise the first refuted one. It returns the server of that loss. A refuted loss is kept
+// rather than one that counts, since a report of another instance could bring it back as one
+// that counts.
+func (s *Suspect) dropOne() string {
+	dropped := slices.IndexFunc(s.Losses, func(loss Loss) bool { return loss.Refuted })
+	if indices := counted(s.Losses); len(indices) > MaxLosses {
+		dropped = indices[len(indices)-1]
 	}
 	server := s.Losses[dropped].Server
 	s.Losses = slices.Delete(s.Losses, dropped, dropped+1)
@@ -62,11 +61,17 @@
 
 // widelyLost reports whether the losses would quarantine the request if none was refuted.
 func (s *Suspect) widelyLost() bool {
-	losses := slices.Clone(s.Losses)
-	for i := range losses {
-		losses[i].Refuted = false
+	return len(s.Losses) >= MaxLosses
+}
+
+// verdict returns how the request may be sent.
+func (s *Suspect) verdict() Verdict {
+	indices := counted(s.Losses)
+	v := Verdict{Losses: len(indices), Latest: s.latest(), Until: s.until()}
+	if v.Quarantined() {
+		v.Since = s.Losses[indices[MaxLosses-1]].Ended
 	}
-	return len(consecutive(losses)) >= MaxLosses
+	return v
 }
 
 func (s *Suspect) latest() time.Time { return s.Losses[len(s.Losses)-1].Ended }
--- a/pkg/suspects/tracker.go
+++ b/pkg/suspects/tracker.go
@@ -47,7 +47,7 @@
 		t.removeLocked(fingerprint)
 		return Verdict{}
 	}
-	return Verdict{Losses: len(consecutive(s.Losses)), Latest: s.latest(), Until: s.until()}
+	return s.verdict()
 }
 
 // RecordLoss records that a connection was lost under a request.
--- a/pkg/suspects/tracker_test.go
+++ b/pkg/suspects/tracker_test.go
@@ -27,10 +27,13 @@
 	return tracker
 }
 
-// Guards against a quarantine because of one fault that takes down many servers at once.
-func TestLossesSideBySideCountOnce(t *testing.T) {
+// Guards against sending on a request that has taken down several servers at once: four losses
+// side by side counted as one, and eight more servers were lost.
+func TestLossesSideBySideCountEach(t *testing.T) {
 	tracker := newTracker(lossAt("a", 0, 10), lossAt("b", 0, 10), lossAt("c", 1, 12), lossAt("d", 9, 11))
-	assert.Equal(t, tracker.Verdict(request, at(20)).Losses, 1)
+	verdict := tracker.Verdict(request, at(20))
+	assert.Equal(t, verdict.Losses, 4)
+	assert.Equal(t, verdict.Since, at(11), "the third loss")
 }
 
 // Guards against sending a request on after it has taken down one server after the other,
@@ -51,8 +54,8 @@
 	assert.Equal(t, tracker.Verdict(request, at(50)).Losses, 1)
 }
 
-// Guards against losing count when a request takes down many servers side by side before it
-// takes down others one after the other.
+// Guards against losing count, and against suspects that grow without bound, when a request
+// takes down many servers side by side before it takes down others one after the other.
 func TestManyLossesSideBySideLeaveRoomForLaterOnes(t *testing.T) {
 	tracker := newTracker()
 	for n := range 5 * maxLossesKept {
@@ -173,7 +176,7 @@
 	for _, c := range changes {
 		got = append(got, c.Verdict.Losses)
 	}
-	assert.DeepEqual(t, got, []int{1, 2, 3})
-	assert.DeepEqual(t, []bool{changes[0].Reported, changes[2].Reported}, []bool{false, true})
+	assert.DeepEqual(t, got, []int{1, 2, 3, 4})
+	assert.DeepEqual(t, []bool{changes[0].Reported, changes[1].Reported, changes[2].Reported}, []bool{false, false, true})
 	assert.Equal(t, len(tracker.Shared(at(30))), 1)
 }
--- a/pkg/suspects/verdict.go
+++ b/pkg/suspects/verdict.go
@@ -4,7 +4,8 @@
 
 // Verdict states how a request may be sent.
 type Verdict struct {
-	Losses int       // consecutive losses; 0 for a request without suspicion
+	Losses int       // runs of servers lost under the request; 0 for a request without suspicion
+	Since  time.Time // when the loss that quarantined the request became known; zero without quarantine
 	Latest time.Time // when the latest server was lost
 	Until  time.Time // end of the suspicion
 }
