forward: further servers of a request in quarantine are drawn at random

Cause: requests that lost their servers together asked the same next server at the same moment, among them the one that crashes servers, and a server that was down used up one of the two tries. Change: the moment and the shard are random, and an attempt that reaches no server is not counted.

--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -36,6 +36,10 @@
 	// well below the 4 s after which a crashing request may reach three more servers only.
 	probeTime = time.Second
 
+	// probeSpread is the mean number of polls for capacity that a request in quarantine waits
+	// before it asks a further server.
+	probeSpread = 4
+
 	// maxHoldBack and holdBackShare bound how long a request that is not sharded is held back
 	// when one more loss would quarantine it: the share is one of the route's target. A caller
 	// may repeat it at several instances at the same moment, and a loss at one of them is known
@@ -167,6 +171,17 @@
 	return !r.isBarred(verdict, now) && !r.servesPeer && r.crashes.probes < maxProbes
 }
 
+// drawsProbe reports whether a waiting shard of a request in quarantine asks a further server now.
+// Time and shard are random: requests that have lost their servers together would otherwise all
+// ask the same next server, and a crashing one among them would take the others down with it
+// again.
+func (r *activeRequest) drawsProbe() bool {
+	return rand.N(probeSpread*len(r.shardRequests)) == 0
+}
+
+// uncountProbe takes back an attempt that has reached no server.
+func (c *crashSuspicion) uncountProbe() { c.probes = max(c.probes-1, 0) }
+
 // isBarred reports whether the request may not reach any further server, also not with
 // attempts that wait for a connection. Those of a sharded request may be sent for probeTime,
 // since a reply to one of them clears it.
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -50,6 +50,10 @@
 	if !r.mayProbe(verdict, now) {
 		return false
 	}
+	if verdict.Quarantined() && !r.drawsProbe() {
+		s.waiting = true
+		return true
+	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
 		s.servers = r.engine.directory.Servers(s.service)
--- a/pkg/forward/results.go
+++ b/pkg/forward/results.go
@@ -56,6 +56,7 @@
 	switch {
 	case res.reply == nil && !res.err.Sent:
 		r.uncountArrival(s)
+		r.crashes.uncountProbe()
 		if r.engine.directory.HasBegunToLeave(res.server) {
 			s.forget(res.server.ID) // it may still serve as a last resort
 		}
