replicas: cold servers and zones that return

A zone that returned after an evacuation got all its requests back at once, and servers after a start as many as any other, although the table may state that they take only warmup_per_s while they are cold.

* Servers of a returned zone get a share of the choices that rises evenly over the warm-up time of their service.
Each choice of each instance has its own draw.
Shards without another server that can be used are not held back.
* A server is cold as its entry or a reply says, and after the return of its zone until it writes an entry.
Where the table states a rate, the instances share it by the mechanism of named rate limits; the lower limit holds.
* Settings warmup_overage and warmup_slack are optional.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -28,6 +28,7 @@
 	byID      map[string]*Server
 	byService map[string][]*Server // without drained zones; slices are shared with callers: replaced, never modified
 	drained   map[string]time.Time // zones that the operator has drained, and since when
+	returned  map[string]time.Time // zones that were drained before, and when they returned
 	// statedLeaving holds when servers said in a reply that they leave, by Server.Key. The
 	// platform's list may never say so, or this instance may not reach it.
 	statedLeaving map[string]time.Time
@@ -42,6 +43,7 @@
 		byID:           make(map[string]*Server),
 		byService:      make(map[string][]*Server),
 		drained:        make(map[string]time.Time),
+		returned:       make(map[string]time.Time),
 		statedLeaving:  make(map[string]time.Time),
 	}
 }
@@ -279,6 +281,7 @@
 	if next != nil {
 		next.leaves = nil
 		next.drained = d.isDrainedLocked(next.Zone)
+		next.ReturnedAt = d.returned[next.Zone]
 	}
 	switch {
 	case next != nil && next.stays() && old != nil && old.stays() && next.Key() == old.Key():
--- a/pkg/directory/drainedzone.go
+++ b/pkg/directory/drainedzone.go
@@ -22,6 +22,7 @@
 		return nil
 	}
 	d.drained[zone] = d.now()
+	delete(d.returned, zone)
 	return &ZoneChange{Zone: zone, Drained: true, Servers: d.refreshZoneLocked(zone)}
 }
 
@@ -38,6 +39,7 @@
 		return nil
 	}
 	delete(d.drained, zone)
+	d.returned[zone] = d.now()
 	return &ZoneChange{Zone: zone, Servers: d.refreshZoneLocked(zone)}
 }
 
@@ -84,6 +86,7 @@
 	}
 	for _, server := range servers {
 		next := *server
+		next.ColdAssumed = !d.isDrainedLocked(zone)
 		d.replaceLocked(server, &next)
 	}
 	return len(servers)
--- a/pkg/directory/drainedzone_test.go
+++ b/pkg/directory/drainedzone_test.go
@@ -53,6 +53,19 @@
 	}
 }
 
+// Guards against a server that counts as cold after it has said otherwise, and against a zone
+// whose return is forgotten because its servers write new entries, as they do all the time.
+func TestServersAreAssumedColdAfterTheReturn(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entryIn("z0", "a", membership.StateLive))
+	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.IsZero())
+	d.DrainZone("z0")
+	d.ReturnZone("z0")
+	assert.Assert(t, d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.Equal(d.now))
+	d.Put(entryIn("z0", "a", membership.StateLive))
+	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.Equal(d.now))
+}
+
 // Guards against a complete list that leaves a zone drained whose key has gone.
 func TestCompleteListReturnsOtherZones(t *testing.T) {
 	d := newTestDirectory()
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -18,6 +18,13 @@
 	// entry is gone; zero for a server that is not leaving.
 	LeavingSince time.Time
 
+	// ReturnedAt is when the server's zone was last taken into use again; zero if it has not
+	// been drained before.
+	ReturnedAt time.Time
+	// ColdAssumed is set from the return of the zone until the server's next entry, which says
+	// whether the server is cold.
+	ColdAssumed bool
+
 	drained bool          // the operator has drained the server's zone
 	leaves  chan struct{} // closed when this run of the server begins to leave or its zone is drained; nil afterwards
 }
--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -74,7 +75,7 @@
 	servers := 0
 	for i, service := range services {
 		usable := e.directory.Servers(service)
-		r.shardRequests[i] = &shardRequest{index: i, service: service, servers: usable}
+		r.shardRequests[i] = &shardRequest{index: i, service: service, servers: usable, returnDraw: rand.Float64()}
 		servers += len(usable)
 	}
 	if route.Sharded() {
--- a/pkg/forward/drainedzone_test.go
+++ b/pkg/forward/drainedzone_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
+	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
@@ -54,6 +55,7 @@
 		answer, _ := tb.ask(background, route)
 		assert.Assert(t, answer.Refusal == nil)
 		assert.Equal(t, answer.Trace.Hedges, 1)
+		assert.Equal(t, answer.Trace.Attempts, 2) // none is chosen there and then not sent
 		assert.DeepEqual(t, tb.arrivals, []string{"one one.a", "one one.c"})
 	})
 }
@@ -209,3 +211,27 @@
 		assert.Equal(t, tb.arrivalCount(), 0)
 	})
 }
+
+// Guards against a zone that gets all requests back at once although its servers are cold, and
+// against shards without another server that wait for the end of the ramp.
+func TestReturnedZoneGetsRequestsAlongARamp(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		const warmUp = 3 * time.Second
+		tb.engine.tracker.WarmUps = func(string) replicas.WarmUp { return replicas.WarmUp{Time: warmUp} }
+		route := tb.singleRoute(true)
+		tb.addServer("lone", "lone.a", localZone)
+		tb.directory.DrainZone(localZone)
+		time.Sleep(time.Second)
+		tb.directory.ReturnZone(localZone)
+		tb.ask(background, route)
+		assert.DeepEqual(t, tb.arrivals, []string{"one one.b"})
+		lone := &routing.Route{Name: "lone", TargetLatency: 500 * time.Millisecond, Timeout: 5 * time.Second, MaxAttempts: 2,
+			WeightedServices: []routing.WeightedService{{Service: "lone", Weight: 1}}}
+		answer, took := tb.ask(background, lone)
+		assert.Assert(t, answer.Refusal == nil)
+		assert.Equal(t, took, work)
+		time.Sleep(warmUp)
+		tb.ask(background, route)
+		assert.Equal(t, tb.arrivals[2], "one one.a")
+	})
+}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -222,9 +222,15 @@
 }
 
 // choose selects the server for the next attempt. It prefers servers that stay over those
-// that are leaving.
+// that are leaving. Servers of a zone that has just returned get a rising share of the
+// choices, and those that no other server can take.
 func (r *activeRequest) choose(s *shardRequest, now time.Time) (replicas.Choice, bool) {
-	choice, ok := r.engine.tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+	tracker := r.engine.tracker
+	candidates := tracker.WithoutReturning(s.servers, s.returnDraw, now)
+	choice, ok := tracker.Choose(candidates, r.route.Name, s.wasTried, now)
+	if len(candidates) < len(s.servers) && (!ok || choice.Ejected || choice.RateDelay > 0) {
+		choice, ok = tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+	}
 	if ok {
 		return choice, true
 	}
--- a/pkg/forward/shardrequest.go
+++ b/pkg/forward/shardrequest.go
@@ -15,6 +15,7 @@
 	index           int
 	service         string
 	servers         []*directory.Server
+	returnDraw      float64   // 0 to 1; decides whether servers of a zone that has just returned may be chosen
 	tried           []string  // ids of servers that were selected for an attempt
 	arrivals        int       // attempts that may have reached a server
 	expiredServers  []string  // ids of tried servers that stopped work at the cutoff as told and may be asked again
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -163,9 +163,11 @@
 	relays := peering.NewRelays(r.members, r.client)
 	tracker := suspects.NewTracker(r.logSuspect)
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
+	observed := replicas.New(s.Instance.Zone, r.members, r.logServerChange)
+	observed.WarmUps = r.warmUp
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
-		Tracker:          replicas.New(s.Instance.Zone, r.members, r.logServerChange),
+		Tracker:          observed,
 		Suspects:         tracker,
 		Budget:           r.budget,
 		Client:           r.sender,
@@ -197,6 +199,17 @@
 	)
 }
 
+// warmUp returns what the table in force states of a service's cold servers.
+func (r *Instance) warmUp(service string) replicas.WarmUp {
+	table := r.follower.Table()
+	if table == nil {
+		return replicas.WarmUp{}
+	}
+	known, _ := table.Service(service)
+	bounds := r.options.Settings.Bounds
+	return replicas.WarmUp{Time: known.WarmUp, Rate: replicas.ColdRate(known.WarmUpRate, bounds.WarmUpOverage, bounds.WarmUpSlack)}
+}
+
 // logServerChange logs a change in the health of a backend server as this instance
 // observes it.
 func (r *Instance) logServerChange(c replicas.Change) {
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -41,6 +41,9 @@
 			a.server.pausedUntil = until
 		}
 	}
+	if notice.ColdFor > 0 {
+		a.server.statedColdUntil = now.Add(notice.ColdFor)
+	}
 	if notice.Leaving && !a.server.leaving {
 		a.server.leaving = true
 		kinds = append(kinds, ChangeLeaving)
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -36,8 +36,8 @@
 	Slow       bool
 	AtCapacity bool // it runs as many attempts as its capacity
 	Ejected    bool // after consecutive failures, until the ejection ends
-	// RateDelay is how long an attempt has to wait for the rate limit that the server names,
-	// as far as this instance's share of it goes; 0 without a limit.
+	// RateDelay is how long an attempt has to wait for the rate limit that the server names, or
+	// that holds while it is cold, as far as this instance's share of it goes; 0 without a limit.
 	RateDelay time.Duration
 }
 
@@ -76,7 +76,9 @@
 		return c, false
 	}
 	slowness := state.slowness
-	if now.Before(candidate.WarmAt) {
+	warmUp := t.warmUp(candidate.Service)
+	cold := now.Before(coldUntil(candidate, state.statedColdUntil, warmUp))
+	if cold {
 		slowness = max(slowness, coldSlowness)
 	}
 	load := float64(len(state.running)) / float64(max(candidate.Capacity, 1))
@@ -103,8 +105,9 @@
 		c.Ejected = true
 		c.Score += ejectedPenalty
 	}
-	if state.rate.limit != 0 {
-		share := t.sharing.RateShare(candidate.ID, candidate.Zone, state.rate.limit)
+	state.rate.setCold(cold, warmUp.Rate, now)
+	if limit := state.rate.lowest(); limit != 0 {
+		share := t.sharing.RateShare(candidate.ID, candidate.Zone, limit)
 		state.rate.refill(share, now)
 		if c.RateDelay = state.rate.delay(share); c.RateDelay > 0 {
 			c.Score += ratePenalty + c.RateDelay.Seconds()
--- a/pkg/replicas/notice.go
+++ b/pkg/replicas/notice.go
@@ -9,5 +9,7 @@
 	// RateLimit is the number of requests a second that the server accepts from all
 	// instances together; 0 is no limit.
 	RateLimit float64
-	Leaving   bool // the server is about to end and wants no further requests
+	// ColdFor is how long the server is still slow after a start; 0 states nothing.
+	ColdFor time.Duration
+	Leaving bool // the server is about to end and wants no further requests
 }
--- a/pkg/replicas/ratelimit.go
+++ b/pkg/replicas/ratelimit.go
@@ -18,9 +18,11 @@
 }
 
 // rateLimit bounds the requests a second that this instance sends to a server that has named
-// a limit. It is a token bucket; reservations of later requests make the tokens negative.
+// a limit or is cold. It is a token bucket; reservations of later requests make the tokens
+// negative.
 type rateLimit struct {
 	limit      float64   // requests a second that the server accepts from all instances; 0 is none
+	cold       float64   // requests a second from all instances while the server is cold; 0 is none
 	namedAt    time.Time // when a reply last named the limit
 	tokens     float64
 	refilledAt time.Time
@@ -30,25 +32,59 @@
 // began before the limit was last named may be older and does not lift it.
 func (l *rateLimit) observe(limit float64, began, now time.Time) {
 	switch {
-	case limit > 0 && l.limit == 0:
+	case limit > 0 && l.lowest() == 0:
 		*l = rateLimit{limit: limit, namedAt: now, refilledAt: now}
 	case limit > 0:
 		l.limit, l.namedAt = limit, now
+	case !began.Before(l.namedAt) && l.cold == 0:
+		*l = rateLimit{}
 	case !began.Before(l.namedAt):
+		l.limit = 0
+	}
+}
+
+// setCold takes in whether the server is cold, and the rate that holds while it is. The bucket
+// starts empty: the instances learn of a cold start at about the same time, and a first request
+// of each could already be too many.
+func (l *rateLimit) setCold(cold bool, rate float64, now time.Time) {
+	if !cold {
+		rate = 0
+	}
+	if rate == l.cold {
+		return
+	}
+	switch {
+	case l.lowest() == 0:
+		*l = rateLimit{cold: rate, refilledAt: now}
+	case rate == 0 && l.limit == 0:
 		*l = rateLimit{}
+	default:
+		l.cold = rate
 	}
 }
 
+// lowest returns the lower one of the limits that hold, or 0 if none does.
+func (l *rateLimit) lowest() float64 {
+	if l.limit == 0 || l.cold == 0 {
+		return max(l.limit, l.cold)
+	}
+	return min(l.limit, l.cold)
+}
+
 // refill adds the tokens of the time since the last refill, at share requests a second.
 func (l *rateLimit) refill(share float64, now time.Time) {
 	l.tokens += share * max(now.Sub(l.refilledAt), 0).Seconds()
-	l.tokens = min(l.tokens, max(share*rateBurst.Seconds(), 1))
+	burst := max(share*rateBurst.Seconds(), 1)
+	if l.cold != 0 {
+		burst = 1 // the bound at a cold server holds in any second
+	}
+	l.tokens = min(l.tokens, burst)
 	l.refilledAt = now
 }
 
 // delay returns how long the next request has to wait.
 func (l *rateLimit) delay(share float64) time.Duration {
-	if l.limit == 0 || l.tokens >= 1 {
+	if l.lowest() == 0 || l.tokens >= 1 {
 		return 0
 	}
 	seconds := (1 - l.tokens) / share
@@ -57,14 +93,14 @@
 
 // take uses one token, or reserves a future one.
 func (l *rateLimit) take() {
-	if l.limit != 0 {
+	if l.lowest() != 0 {
 		l.tokens--
 	}
 }
 
 // giveBack returns the token of a reservation that is not used.
 func (l *rateLimit) giveBack() {
-	if l.limit != 0 {
+	if l.lowest() != 0 {
 		l.tokens++
 	}
 }
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -27,6 +27,10 @@
 	sharing  RateSharing
 	onChange func(Change) // called without locks held
 
+	// WarmUps returns what the table states of a service's cold servers. It is set before the
+	// tracker is used; nil states nothing.
+	WarmUps func(service string) WarmUp
+
 	mu        sync.Mutex
 	servers   map[string]*server          // by directory.Server.Key
 	latencies map[string]*latencyEstimate // by route
--- /dev/null
+++ b/pkg/replicas/warmup.go
@@ -0,0 +1,57 @@
+package replicas
+
+import (
+	"time"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+)
+
+// WarmUp states how servers of a service behave after a cold start. The zero value states
+// nothing.
+type WarmUp struct {
+	// Time is how long a server is cold after its start.
+	Time time.Duration
+	// Rate is the number of requests a second at a cold server that the instances divide among
+	// them; 0 is no limit.
+	Rate float64
+}
+
+// warmUp returns what is stated of a service.
+func (t *Tracker) warmUp(service string) WarmUp {
+	if t.WarmUps == nil {
+		return WarmUp{}
+	}
+	return t.WarmUps(service)
+}
+
+// coldUntil returns the end of the time in which a server is cold: as its entry or its replies
+// say or, until an entry says more, for its service's warm-up time after the return of its zone.
+func coldUntil(candidate *directory.Server, stated time.Time, warmUp WarmUp) time.Time {
+	until := candidate.WarmAt
+	if stated.After(until) {
+		until = stated
+	}
+	if !candidate.ColdAssumed {
+		return until
+	}
+	if assumed := candidate.ReturnedAt.Add(warmUp.Time); assumed.After(until) {
+		until = assumed
+	}
+	return until
+}
+
+// maxSharing is by how much the requests of all instances in one second may exceed the rate that
+// they share (peering.Members.RateShare). Other zones share a fifth on top, and instances without
+// a share of their own a twentieth. After idle time each sharer may send one request, and there
+// is at most one sharer for each 1.25 requests a second. While a third of the members is unknown
+// to the others, these share as if it sent nothing.
+const maxSharing = 1.2 * (1 + 0.05 + 1/1.25) * 1.5
+
+// ColdRate returns the rate to share among the instances for a bound of perSecond x overage +
+// slack requests in any second; 0 for no limit.
+func ColdRate(perSecond, overage, slack float64) float64 {
+	if perSecond <= 0 {
+		return 0
+	}
+	return (perSecond*overage + slack) / maxSharing
+}
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -37,6 +37,10 @@
 	ExtraRatio     float64       // arrivals beyond the first, per request
 	ExtraAllowance float64       // arrivals beyond the first, of all instances in each window
 	ExtraWindow    time.Duration
+	// A cold backend server gets at most its stated rate x WarmUpOverage + WarmUpSlack requests
+	// in any second. Without them these are 1 and 0, so that the stated rate itself is kept.
+	WarmUpOverage float64
+	WarmUpSlack   float64
 }
 
 // Ranges of the platform's figures.
@@ -44,6 +48,7 @@
 	boundRange     = durations(100*time.Millisecond, 10*time.Minute)
 	ratioRange     = yamldoc.Range[float64]{Min: 0, Max: 10}
 	allowanceRange = yamldoc.Range[float64]{Min: 0, Max: 1e6}
+	overageRange   = yamldoc.Range[float64]{Min: 0.1, Max: 100}
 	coresRange     = yamldoc.Range[float64]{Min: 0.01, Max: 1024}
 	memoryRange    = yamldoc.Range[int]{Min: 32, Max: 1 << 20}
 )
@@ -101,5 +106,8 @@
 	o.Required("extra_ratio").Float(&b.ExtraRatio, ratioRange)
 	o.Required("extra_allowance").Float(&b.ExtraAllowance, allowanceRange)
 	o.Required("extra_window").Duration(&b.ExtraWindow, boundRange)
+	b.WarmUpOverage = 1
+	o.Optional("warmup_overage").Float(&b.WarmUpOverage, overageRange)
+	o.Optional("warmup_slack").Float(&b.WarmUpSlack, allowanceRange)
 	o.Close()
 }
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -28,10 +28,18 @@
 		Store:    "10.200.1.7:8102",
 		Memory:   284 << 20,
 		Cores:    0.4,
-		Bounds:   RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second},
+		Bounds:   RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second, WarmUpOverage: 1},
 	})
 }
 
+// Guards against settings of the warm-up that are required or read into other fields.
+func TestRelayWarmUpSettings(t *testing.T) {
+	got, err := ParseRelay("relay.yaml", []byte(strings.Replace(relayYAML, "drain:", "warmup_overage: 1.5, warmup_slack: 5, drain:", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Bounds.WarmUpOverage, 1.5)
+	assert.Equal(t, got.Bounds.WarmUpSlack, 5.0)
+}
+
 // Guards against reporting one finding at a time, or none.
 func TestRelaySettingsReportEveryFinding(t *testing.T) {
 	broken := strings.NewReplacer("cores: 0.4", "cores: -1", "grace: 6s", "grace: 6", "10.200.1.7:8102", "store", "zone: a", "zone: 7").Replace(relayYAML)
