forward: requests stay in the allowed regions of their route

A route may state allowed_regions; requests reached servers in any region. The settings give the region of each zone. Servers elsewhere are left out of every choice and are not sent to; relays get the allowed zones with the call. Without zones in the settings nothing is restricted.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -36,6 +36,7 @@
 	servesPeer        bool // this instance is the relay; it does not relay first attempts again
 	chargedBySender   bool // every attempt is an extra one, which the sending instance has charged to its budget
 	request           *Request
+	allowedZones      []string // zones whose servers may get the request; nil means all
 	crashes           *crashSuspicion
 	timing            timing
 	shardRequests     []*shardRequest
@@ -71,10 +72,11 @@
 		crashes:        newCrashSuspicion(e, request),
 		timing:         newTiming(route, request, e.latencyEstimate(route)),
 		shardRequests:  make([]*shardRequest, len(services)),
+		allowedZones:   e.allowedZones(route),
 	}
 	servers := 0
 	for i, service := range services {
-		usable := e.directory.Servers(service)
+		usable := r.usableServers(service)
 		r.shardRequests[i] = &shardRequest{index: i, service: service, servers: usable, returnDraw: rand.Float64()}
 		servers += len(usable)
 	}
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -23,6 +23,7 @@
 	lateness          *lateShares
 	client            BackendClient
 	zone              string
+	regions           map[string]string // by zone; empty if the settings name none
 	relays            Relays
 	sharing           Sharing
 	onLatenessChange  func(LatenessChange)
@@ -39,14 +40,15 @@
 	RemoteInstances() int
 }
 
-// Config is the input of New. All fields are required.
+// Config is the input of New. All fields but Regions are required.
 type Config struct {
 	Directory        *directory.Directory
 	Tracker          *replicas.Tracker
 	Suspects         *suspects.Tracker
 	Budget           *retrybudget.Budget
 	Client           BackendClient
-	Zone             string // this instance's availability zone
+	Zone             string            // this instance's availability zone
+	Regions          map[string]string // region of each zone, for routes with allowed regions
 	Relays           Relays
 	Sharing          Sharing
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
@@ -67,6 +69,7 @@
 		lateness:         newLateShares(),
 		client:           config.Client,
 		zone:             config.Zone,
+		regions:          config.Regions,
 		relays:           config.Relays,
 		sharing:          config.Sharing,
 		onLatenessChange: config.OnLatenessChange,
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -45,7 +45,7 @@
 	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
-		s.servers = r.engine.directory.Servers(s.service)
+		s.servers = r.usableServers(s.service)
 	}
 	choice, ok := r.choose(s, now)
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
@@ -234,7 +234,7 @@
 	if ok {
 		return choice, true
 	}
-	return r.engine.tracker.Choose(r.engine.directory.LastResort(s.service), r.route.Name, s.wasTried, now)
+	return r.engine.tracker.Choose(r.lastResort(s.service), r.route.Name, s.wasTried, now)
 }
 
 func (r *activeRequest) sendAttempt(s *shardRequest, choice replicas.Choice, now time.Time) {
@@ -259,7 +259,7 @@
 		NewConnection: !r.route.Repeatable,
 		Until:         until,
 		Leaves:        server.Leaves(),
-		Send:          func() bool { return r.engine.directory.MayUse(server) && state.Send() },
+		Send:          func() bool { return r.mayUse(server) && state.Send() },
 	}
 	tracked := r.engine.tracker.Begin(server, r.route.Name, now, r.replyDue(due, now))
 	go r.attempt(attemptResult{shardIndex: s.index, server: server, runState: state, started: now}, call, tracked)
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -29,6 +29,7 @@
 	r := newActiveRequest(e, route, call.Request, func(service string) int { return connections[service] })
 	defer r.release()
 	defer r.markNoLongerNeeded()
+	r.restrictTo(call.Zones)
 	r.servesPeer = true
 	r.chargedBySender = call.ChargedBySender
 	r.maxMissingShare = call.MaxMissingShare
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -34,6 +34,7 @@
 	Route           string
 	Services        []string // one per shard
 	MaxConnections  []int    // connections that a server of the service at the same index accepts
+	Zones           []string // zones whose servers may be asked; empty means all
 	Top             int
 	MaxAttempts     int // per shard
 	Priority        int
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -79,6 +79,7 @@
 	call := &PartsCall{
 		Request:         r.request,
 		Route:           r.route.Name,
+		Zones:           r.allowedZones,
 		Top:             r.route.TopK,
 		MaxAttempts:     max(r.route.MaxAttempts, 1),
 		Priority:        r.route.Priority,
--- a/pkg/forward/reservation.go
+++ b/pkg/forward/reservation.go
@@ -52,7 +52,7 @@
 		return
 	}
 	r.dropReservation(s, now)
-	s.servers = r.engine.directory.Servers(s.service)
+	s.servers = r.usableServers(s.service)
 	started := false
 	if r.mayLaunch(s, first, now) && slices.ContainsFunc(s.servers, func(server *directory.Server) bool { return server.Key() == choice.Server.Key() }) {
 		started = r.start(s, choice, first, now)
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		// A server may have started to leave while the attempt waited.
-		s.servers = r.engine.directory.Servers(s.service)
+		s.servers = r.usableServers(s.service)
 		switch {
 		case r.servesPeer && !now.Before(r.timing.cutoff):
 			s.waiting = false
@@ -75,7 +75,7 @@
 		s.waiting = true
 		return true
 	}
-	s.servers = r.engine.directory.Servers(s.service)
+	s.servers = r.usableServers(s.service)
 	choice, ok := r.engine.tracker.Choose(s.servers, r.route.Name, func(id string) bool { return !slices.Contains(s.expiredServers, id) }, now)
 	if ok && choice.RateDelay > 0 {
 		return false
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -185,6 +185,7 @@
 		Missable:     float32(call.MaxMissingShare),
 		Extra:        call.ChargedBySender,
 		Merge:        call.Merge,
+		Zones:        call.Zones,
 	}
 	for name, values := range request.Header {
 		for _, value := range values {
@@ -226,6 +227,7 @@
 		HedgeAfter:      fromMilliseconds(m.GetHedgeAfterMs()),
 		ChargedBySender: m.GetExtra(),
 		Merge:           m.GetMerge(),
+		Zones:           m.GetZones(),
 	}
 	for _, n := range m.GetConnections() {
 		call.MaxConnections = append(call.MaxConnections, int(n))
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -95,6 +95,7 @@
 		Route:           "r",
 		Services:        services,
 		MaxConnections:  []int{26, 54},
+		Zones:           []string{"z1", "z2"},
 		Top:             10,
 		MaxAttempts:     2,
 		Target:          150 * time.Millisecond,
@@ -124,7 +125,7 @@
 	for _, same := range []struct{ sent, received any }{
 		{call.Request.Header, g.call.Request.Header}, {call.Request.Target, g.call.Request.Target},
 		{call.Request.Body, g.call.Request.Body}, {call.Request.Host, g.call.Request.Host},
-		{call.Services, g.call.Services}, {call.MaxConnections, g.call.MaxConnections},
+		{call.Services, g.call.Services}, {call.MaxConnections, g.call.MaxConnections}, {call.Zones, g.call.Zones},
 		{call.Top, g.call.Top}, {call.MaxAttempts, g.call.MaxAttempts}, {call.Target, g.call.Target}, {call.Merge, g.call.Merge}, {call.MaxMissingShare, g.call.MaxMissingShare},
 	} {
 		assert.DeepEqual(t, same.received, same.sent)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -172,6 +172,7 @@
 		Budget:           r.budget,
 		Client:           r.sender,
 		Zone:             s.Instance.Zone,
+		Regions:          s.Zones,
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -14,6 +14,9 @@
 	Priority      int           // 0 is the highest
 	MaxAttempts   int           // most backend servers that a request may reach, for a sharded route per shard
 
+	// AllowedRegions are the regions whose backend servers may get a request; empty means all.
+	AllowedRegions []string
+
 	WeightedServices []WeightedService // services among which requests are distributed by weight
 
 	Shards        []string // one service per shard; each request is sent to all of them
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -20,6 +20,7 @@
 	Memory   int64    // bytes that the process may use
 	Cores    float64  // processor time that the process has
 	Bounds   RelayBounds
+	Zones    map[string]string // region of each availability zone; nil if not stated
 }
 
 // RelayListen holds the addresses to listen on, each as IP:port.
@@ -86,6 +87,7 @@
 	s.Cores = 1
 	o.Optional("cores").Float(&s.Cores, coresRange)
 	s.Bounds.read(o.Required("bounds"))
+	readZones(o.Optional("zones"), &s.Zones)
 	o.Close()
 }
 
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -49,3 +49,22 @@
 	}
 	assert.Equal(t, strings.Count(err.Error(), "\n"), 3)
 }
+
+// Guards against a region of a zone that is not read, and against settings of a deployment that
+// states no regions and is refused.
+func TestRelayZones(t *testing.T) {
+	for text, zones := range map[string]map[string]string{
+		"zones: {\"z0\": \"r1\", \"z1\": \"r2\"}\n": {"z0": "r1", "z1": "r2"},
+		"zones: \n":     nil,
+		"zones: null\n": nil,
+		"":              nil,
+	} {
+		got, err := ParseRelay("relay.yaml", []byte(relayYAML+text))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got.Zones, zones)
+	}
+	for _, broken := range []string{"zones: [z0]\n", "zones: {z0: 1}\n", "zones: {z0: ''}\n"} {
+		_, err := ParseRelay("relay.yaml", []byte(relayYAML+broken))
+		assert.ErrorContains(t, err, "zones")
+	}
+}
