--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	servesPeer        bool // this instance is the relay; it does not relay first attempts again
 	chargedBySender   bool // every attempt is an extra one, which the sending instance has charged to its budget
 	request           *Request
+	allowedZones      []string // zones whose servers may get the request; nil means all
 	crashes           *crashSuspicion
 	timing            timing
 	shardRequests     []*shardRequest
@@ -70,11 +72,12 @@
 		crashes:        newCrashSuspicion(e, request, route.Sharded()),
 		timing:         newTiming(route, request, e.latencyEstimate(route), e.ownWork),
 		shardRequests:  make([]*shardRequest, len(services)),
+		allowedZones:   e.allowedZones(route),
 	}
 	servers := 0
 	for i, service := range services {
-		usable := e.directory.Servers(service)
-		r.shardRequests[i] = &shardRequest{index: i, service: service, servers: usable}
+		usable := r.usableServers(service)
+		r.shardRequests[i] = &shardRequest{index: i, service: service, servers: usable, returnDraw: rand.Float64()}
 		servers += len(usable)
 	}
 	if route.Sharded() {
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -23,7 +23,8 @@
 	lateness          *lateShares
 	client            BackendClient
 	zone              string
-	ownWork           time.Duration // see ownWorkTime
+	ownWork           time.Duration     // see ownWorkTime
+	regions           map[string]string // by zone; empty if the settings name none
 	relays            Relays
 	sharing           Sharing
 	onLatenessChange  func(LatenessChange)
@@ -40,15 +41,16 @@
 	RemoteInstances() int
 }
 
-// Config is the input of New. All fields but Cores are required.
+// Config is the input of New. All fields but Cores and Regions are required.
 type Config struct {
 	Directory        *directory.Directory
 	Tracker          *replicas.Tracker
 	Suspects         *suspects.Tracker
 	Budget           *retrybudget.Budget
 	Client           BackendClient
-	Zone             string  // this instance's availability zone
-	Cores            float64 // processor time of this instance; 0 is unknown
+	Cores            float64           // processor time of this instance; 0 is unknown
+	Zone             string            // this instance's availability zone
+	Regions          map[string]string // region of each zone, for routes with allowed regions
 	Relays           Relays
 	Sharing          Sharing
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
@@ -70,6 +72,7 @@
 		client:           config.Client,
 		zone:             config.Zone,
 		ownWork:          ownWorkTime(config.Cores),
+		regions:          config.Regions,
 		relays:           config.Relays,
 		sharing:          config.Sharing,
 		onLatenessChange: config.OnLatenessChange,
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -56,7 +56,7 @@
 	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
-		s.servers = r.engine.directory.Servers(s.service)
+		s.servers = r.usableServers(s.service)
 	}
 	choice, ok := r.choose(s, now)
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
@@ -237,13 +237,19 @@
 }
 
 // choose selects the server for the next attempt. It prefers servers that stay over those
-// that are leaving.
+// that are leaving. Servers of a zone that has just returned get a rising share of the
+// choices, and those that no other server can take.
 func (r *activeRequest) choose(s *shardRequest, now time.Time) (replicas.Choice, bool) {
-	choice, ok := r.engine.tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+	tracker := r.engine.tracker
+	candidates := tracker.WithoutReturning(s.servers, s.returnDraw, now)
+	choice, ok := tracker.Choose(candidates, r.route.Name, s.wasTried, now)
+	if len(candidates) < len(s.servers) && (!ok || choice.Ejected || choice.RateDelay > 0) {
+		choice, ok = tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+	}
 	if ok {
 		return choice, true
 	}
-	return r.engine.tracker.Choose(r.engine.directory.LastResort(s.service), r.route.Name, s.wasTried, now)
+	return r.engine.tracker.Choose(r.lastResort(s.service), r.route.Name, s.wasTried, now)
 }
 
 func (r *activeRequest) sendAttempt(s *shardRequest, choice replicas.Choice, now time.Time) {
@@ -277,7 +283,7 @@
 // maySend reports whether an attempt that has waited for a connection may still be sent. It is
 // safe for concurrent use.
 func (r *activeRequest) maySend(server *directory.Server, now time.Time) bool {
-	return r.engine.directory.MayUse(server) && !r.isBarred(r.crashes.verdict(now), now)
+	return r.mayUse(server) && !r.isBarred(r.crashes.verdict(now), now)
 }
 
 // replyDue returns when the tracker should expect the reply to an attempt that starts now.
