forward, gateway: stages of a request in its log line and in the metrics

The log line had only the time of the whole request, so a late answer did not tell whether it had waited for capacity, for one shard or for its caller. Trace.Stages has the duration of each stage, without goroutines or allocations per part; the log line has them in one group, and each stage has a histogram.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -39,6 +39,7 @@
 	timing            timing
 	shardRequests     []*shardRequest
 	trace             Trace
+	stages            stageClock
 
 	ctx      context.Context // of the attempts
 	cancel   context.CancelFunc
@@ -138,11 +139,13 @@
 		r.engine.shardedInProgress.Add(1)
 		defer r.engine.shardedInProgress.Add(-1)
 	}
+	r.stages.began = time.Now()
 	for _, s := range r.shardRequests {
 		if !r.launch(s, first) {
 			r.markLost(s)
 		}
 	}
+	r.stages.fannedOut = time.Now()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -257,6 +260,7 @@
 
 func (r *activeRequest) finishTrace() Trace {
 	r.trace.Parts = r.answeredShards
+	r.stages.finish(&r.trace.Stages)
 	for _, s := range r.shardRequests {
 		if s.reply == nil {
 			r.trace.Missing = append(r.trace.Missing, s.service)
--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -62,6 +62,7 @@
 }
 
 func (r *activeRequest) merge() *Merged {
+	began := time.Now()
 	m := &Merged{Missing: len(r.shardRequests) - r.answeredShards}
 	bodies := slices.Clone(r.mergedBodies)
 	for _, s := range r.shardRequests {
@@ -72,6 +73,7 @@
 		bodies = append(bodies, s.reply.Body)
 	}
 	m.Body = gather.Merge(bodies, r.route.TopK)
+	r.trace.Stages.Merge = time.Since(began)
 	return m
 }
 
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -83,6 +83,9 @@
 // request counts for the budget of the instance that executes the attempt: this one, or
 // the relay that gets it.
 func (r *activeRequest) startFirst(s *shardRequest, choice replicas.Choice, why purpose, now time.Time) {
+	if why == first {
+		r.stages.recordStart(&r.trace.Stages, now)
+	}
 	if !s.countedInBudget {
 		s.countedInBudget = true
 		if zone, relay := r.relayFor(s, choice.Server, why); relay != nil {
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// limit makes the engine set a concurrency limit at a server: its capacity.
+func (tb *testbed) limit(server *directory.Server, route *routing.Route) {
+	for range 2 {
+		time.Sleep(500 * time.Millisecond) // longer than a pause of a server
+		now := time.Now()
+		expired := tb.engine.tracker.Begin(server, route.Name, now, now)
+		time.Sleep(10 * work)
+		expired.End(replicas.Expired, time.Now())
+	}
+}
+
 // slowShards makes all servers of three shards take the given time for each request.
 func (tb *testbed) slowShards(work time.Duration) {
 	for _, shard := range []string{"s03", "s07", "s11"} {
@@ -179,13 +190,7 @@
 		tb.warmUp(route)
 		servers := tb.directory.Servers("s00")
 		assert.Equal(t, len(servers), 1)
-		for range 2 {
-			time.Sleep(500 * time.Millisecond) // longer than a pause of a server
-			now := time.Now()
-			expired := tb.engine.tracker.Begin(servers[0], route.Name, now, now)
-			time.Sleep(10 * work)
-			expired.End(replicas.Expired, time.Now())
-		}
+		tb.limit(servers[0], route)
 		now := time.Now()
 		occupied := []*replicas.Attempt{tb.engine.tracker.Begin(servers[0], route.Name, now, now), tb.engine.tracker.Begin(servers[0], route.Name, now, now)}
 		go func() {
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -251,6 +251,7 @@
 		s.reply = &Reply{Proof: part.Proof, Body: part.Body}
 		s.withdrawUnsent()
 		r.answeredShards++
+		r.stages.recordPart(time.Now())
 	}
 	if result.Final {
 		r.finishRelayCall(rc, result)
--- a/pkg/forward/results.go
+++ b/pkg/forward/results.go
@@ -17,6 +17,7 @@
 		s.reply = res.reply
 		s.withdrawUnsent()
 		r.answeredShards++
+		r.stages.recordPart(time.Now())
 		return
 	}
 	r.recordFailure(s, res)
--- a/pkg/forward/trace.go
+++ b/pkg/forward/trace.go
@@ -18,6 +18,7 @@
 	Denied        int      // hedges and retries that the budget did not allow
 	Events        []AttemptEvent
 	DroppedEvents int // events beyond maxTraceEvents
+	Stages        Stages
 }
 
 // AttemptEvent is an event of a request that delayed its answer: an attempt that failed, was
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -18,6 +18,7 @@
 	Route         *routing.Route
 	Answer        *forward.Answer
 	Status        int
+	Read          time.Duration // from the arrival until the body was read
 	Took          time.Duration
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -56,7 +56,10 @@
 
 // finish writes the answer to a request and records the exchange.
 func (g *Gateway) finish(w http.ResponseWriter, r *http.Request, e *exchange, answer *forward.Answer) {
+	ready := time.Now()
 	e.Status = g.write(w, e.ID, answer)
+	answer.Trace.Stages.Read = e.Read
+	answer.Trace.Stages.Write = time.Since(ready)
 	e.Answer = answer
 	e.Took = time.Since(e.Arrived)
 	g.recorder.record(r.Context(), e)
@@ -72,6 +75,7 @@
 	}
 	e.Table, e.Route = table, route
 	body, refusal := readBody(r, table.Limits())
+	e.Read = time.Since(e.Arrived)
 	if refusal != nil {
 		return &forward.Answer{Refusal: refusal}
 	}
--- a/pkg/gateway/recorder.go
+++ b/pkg/gateway/recorder.go
@@ -14,12 +14,13 @@
 	registry *telemetry.Registry
 	// viewAge returns how long ago the table was last confirmed.
 	viewAge func() time.Duration
+	stages  *stageMetrics
 }
 
 // NewRecorder returns a recorder; viewAge returns how long ago the table was last
 // confirmed.
 func NewRecorder(logger *slog.Logger, registry *telemetry.Registry, viewAge func() time.Duration) *Recorder {
-	return &Recorder{logger: logger, registry: registry, viewAge: viewAge}
+	return &Recorder{logger: logger, registry: registry, viewAge: viewAge, stages: newStageMetrics(registry)}
 }
 
 func (r *Recorder) record(_ context.Context, e *exchange) {
@@ -78,6 +79,7 @@
 	if t.Hedges+t.Retries+t.Denied > 0 {
 		attrs = append(attrs, slog.Int("hedges", t.Hedges), slog.Int("retries", t.Retries), slog.Int("denied", t.Denied))
 	}
+	attrs = append(attrs, stageAttr(&t.Stages))
 	if len(t.Events) > 0 {
 		attrs = append(attrs, slog.Any("troubles", t.Events))
 	}
@@ -103,6 +105,7 @@
 	}
 	r.registry.Histogram("request_duration_" + kind).Record(e.Took)
 	t := &e.Answer.Trace
+	r.stages.record(&t.Stages)
 	r.registry.Counter("attempts_total").Add(int64(t.Attempts))
 	r.registry.Counter("hedges_total").Add(int64(t.Hedges))
 	r.registry.Counter("retries_total").Add(int64(t.Retries))
