shedding: order of requests while capacity is short, and their Retry-After

pkg/forward knew only that a request of a higher priority had been seen within a second. Attempts that waited for a limited server polled each 10 ms and went in the order of their polls; hedges of all priorities went on while servers were short; a request whose required shards had no capacity in time was held until it was late.

pkg/shedding holds the decisions: a service is short when its parts are often late at the cutoff or have to wait, with hysteresis; waiting attempts go by priority, then those that came back after a refusal, then by arrival, and a less urgent one goes after it was passed five times. While a service is short, hedges of the least urgent are left out, then also half of the parts that their answers may lack. A request that cannot be served in time is refused at once. The end of an attempt wakes the first one that waits. One function computes Retry-After: an interval per priority, at most a third of the caller's time. Without limits at servers and late parts nothing changes but the cap of Retry-After.

Seen failing with the decision left out (refusal, order on arrival and while waiting, memory of refused requests, hedges, spare parts, maxPassed, order and cap of the pauses, hysteresis): TestBurstThatCannotBeServedInTimeIsRefusedAtOnce, TestReturnedRequestGoesBeforeNewOnes, TestBurstOfLeastUrgentSendsNoHedgesToAShortService, TestBurstOfLeastUrgentLeavesOutSpareParts, TestTheLeastUrgentIsNotStarved, TestPausesAreOrderedAndHonoured, TestShortageHasHysteresis.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -52,6 +52,9 @@
 	mergedBodies [][]byte        // merged parts that relays have sent
 	relayZone    string          // zone whose relay gets the shards without a server in this zone
 
+	wake     chan struct{} // gets a value when a waiting attempt may have capacity
+	returned bool          // the request came back after a refusal
+
 	wakeAt time.Time // time at which loop wakes up even without an event; zero means never
 
 	maxMissingShare  float64 // share of shards that an answer may lack, 0 to 1
@@ -81,11 +84,12 @@
 	if route.Sharded() {
 		r.trace.Shards = len(services)
 		r.maxMissingShare = 1 - float64(route.RequiredShards())/float64(len(services))
-		e.priorities.record(route.Priority, request.Arrived)
+		e.shedding.Classes.Record(route.Priority, request.Arrived)
 	} else {
 		r.trace.Service = services[0]
 	}
 	r.results = make(chan attemptResult, servers)
+	r.wake = make(chan struct{}, 1)
 	r.relayEvents = make(chan relayEvent, relayEventsPerShard*len(services))
 	// Attempts continue after the answer: one that was slower than its hedge ends
 	// normally, which keeps its connection usable and measures the server's reply time.
@@ -156,13 +160,17 @@
 			r.recordLateness(r.timing.cutoff)
 			return true
 		}
-		timer.Reset(r.nextWakeup(now).Sub(now))
+		wakeup := r.nextWakeup(now)
+		timer.Reset(wakeup.Sub(now))
 		select {
 		case res := <-r.results:
 			r.handleResult(res)
 		case e := <-r.relayEvents:
 			r.handleRelayEvent(e)
 		case <-timer.C:
+			fired := time.Now()
+			r.engine.shedding.Shortage.RecordTimer(fired.Sub(wakeup), fired)
+		case <-r.wake:
 		case <-ctx.Done():
 			r.cancel()
 			return false
@@ -188,6 +196,7 @@
 		return
 	}
 	r.latenessRecorded = true
+	r.recordShortage(now)
 	late := 1 - float64(r.answeredShards)/float64(len(r.shardRequests))
 	if change := r.engine.lateness.record(r.route.Name, late, r.maxMissingShare, now); change != nil {
 		r.engine.onLatenessChange(*change)
@@ -200,6 +209,7 @@
 	for _, s := range r.shardRequests {
 		s.withdrawUnsent()
 		r.dropReservation(s, time.Now())
+		r.leaveQueue(s, false)
 	}
 }
 
@@ -254,6 +264,7 @@
 }
 
 func (r *activeRequest) markLost(s *shardRequest) {
+	r.leaveQueue(s, false)
 	s.lost = true
 	r.lostShards++
 }
--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,9 +18,6 @@
 	// ShutdownRetryAfter is the pause when this instance shuts down. It is short, since new
 	// connections already reach other instances.
 	ShutdownRetryAfter = 50 * time.Millisecond
-	// retryJitter is the largest random extension of a pause, as a share of it. It keeps
-	// callers that were refused together from returning together.
-	retryJitter = 0.5
 )
 
 // decideAnswer returns the answer once waiting any longer is not worthwhile, and nil
@@ -110,6 +106,7 @@
 		return r.refuseCrashSuspect(verdict, now)
 	}
 	unavailable := 0
+	var waits []time.Duration   // for capacity of the shards that have none in time
 	var limited []time.Duration // how much longer than allowed the rate limits of shards delay
 	for _, s := range r.shardRequests {
 		choice, ok := r.choose(s, now)
@@ -118,6 +115,10 @@
 			unavailable++
 		case ok && choice.RateDelay > r.maxRateDelay(now) && !r.isRelayed(s, choice.Server, first):
 			limited = append(limited, choice.RateDelay-r.maxRateDelay(now))
+		case ok && r.route.Sharded():
+			if d, full := r.demand(s, choice, now); full && d.TooLate() {
+				waits = append(waits, d.Wait())
+			}
 		}
 	}
 	total, required := len(r.shardRequests), 1
@@ -126,6 +127,8 @@
 	}
 	missing := unavailable + len(limited) - (total - required) // shards that are too few
 	switch {
+	case missing <= 0 && missing+len(waits) > 0:
+		return r.refuseWithoutCapacity(waits, -missing)
 	case missing <= 0:
 		return nil
 	case missing <= len(limited):
@@ -140,9 +143,7 @@
 // Another instance may have more of the limit left, so the pause is not longer than that of a
 // request without a server.
 func (r *activeRequest) refuseRateLimited(pause time.Duration, detail string) *Answer {
-	answer := r.refuse(RateLimited, detail)
-	answer.Refusal.RetryAfter = min(max(pause, refusedRetryAfter), answer.Refusal.RetryAfter)
-	return answer
+	return r.refuseUntil(RateLimited, pause, detail)
 }
 
 // refuse returns an answer that refuses the request. It states that the request has not
@@ -162,7 +163,7 @@
 		case ShuttingDown:
 			pause = ShutdownRetryAfter
 		}
-		refusal.RetryAfter = pause + time.Duration(rand.Float64()*retryJitter*float64(pause))
+		refusal.RetryAfter = r.retryAfter(pause)
 	}
 	return &Answer{Refusal: refusal}
 }
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
@@ -19,7 +20,7 @@
 	suspects          *suspects.Tracker
 	budget            *retrybudget.Budget
 	weights           *routing.WeightedRoundRobin
-	priorities        *recentPriorities
+	shedding          *shedding.Policy
 	lateness          *lateShares
 	client            BackendClient
 	zone              string
@@ -63,7 +64,7 @@
 		suspects:         config.Suspects,
 		budget:           config.Budget,
 		weights:          routing.NewWeightedRoundRobin(),
-		priorities:       newRecentPriorities(),
+		shedding:         shedding.NewPolicy(),
 		lateness:         newLateShares(),
 		client:           config.Client,
 		zone:             config.Zone,
@@ -92,7 +93,12 @@
 		return known.MaxConnections
 	})
 	defer r.release()
-	return r.waitForAnswer(ctx)
+	r.returned = e.shedding.Refused.Take(r.crashes.fingerprint, request.Arrived)
+	answer := r.waitForAnswer(ctx)
+	if refusal := answer.Refusal; refusal != nil && refusal.RetryAfter > 0 {
+		e.shedding.Refused.Add(r.crashes.fingerprint, refusal.RetryAfter, time.Now())
+	}
+	return answer
 }
 
 const (
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -43,6 +43,9 @@
 		s.waiting = true
 		return true
 	}
+	if r.isLeftOut(s, why, now) {
+		return false
+	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
 		s.servers = r.engine.directory.Servers(s.service)
@@ -57,11 +60,14 @@
 	if r.mustWait(s, choice, why, now) {
 		if !s.waiting {
 			r.traceEvent(s, AttemptEvent{Server: choice.Server.ID, Event: "waits for room"})
+			r.engine.shedding.Shortage.RecordPart(s.service, true, now)
 		}
 		s.waiting = true
+		r.updateQueue(s, choice, now)
 		return true
 	}
 	s.waiting = false
+	r.recordTurn(s, choice, why)
 	return r.start(s, choice, why, now)
 }
 
@@ -302,6 +308,7 @@
 		}
 	}
 	tracked.End(outcomeOf(&res, r.ctx.Err()), now)
+	r.engine.shedding.Queue.Wake(call.Server.Service)
 	deliver(r.ctx, r.results, res)
 }
 
--- a/pkg/forward/reservation.go
+++ b/pkg/forward/reservation.go
@@ -24,7 +24,7 @@
 // so that its caller can try again, and does not use up the rate.
 func (r *activeRequest) maxRateDelay(now time.Time) time.Duration {
 	left := max(r.timing.cutoff.Sub(now)-r.engine.latencyEstimate(r.route), 0)
-	if r.route.Sharded() && r.engine.priorities.hasHigher(r.route.Priority, now) {
+	if r.route.Sharded() && r.engine.shedding.Classes.HasHigher(r.route.Priority, now) {
 		return time.Duration(lowPriorityWaitShare * float64(left))
 	}
 	return left
--- a/pkg/forward/shardrequest.go
+++ b/pkg/forward/shardrequest.go
@@ -6,6 +6,7 @@
 
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/runstate"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 )
 
 // shardRequest is the state of what one service has to answer: a shard, or the whole
@@ -35,7 +36,9 @@
 	waiting bool
 	// reservation is set while an attempt waits for the rate limit of its server.
 	reservation *reservation
-	directOnly  bool // a relay has failed; the servers are asked directly from now on
+	queued      *shedding.Waiter // set while an attempt waits for its turn at the servers
+	leftOut     bool             // the part is not asked for because capacity is short
+	directOnly  bool             // a relay has failed; the servers are asked directly from now on
 	// sending holds the run states of the attempts in progress at servers. Attempts may
 	// wait for a connection for long.
 	sending []*runstate.State
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -170,11 +170,11 @@
 }
 
 func (tb *testbed) addServer(service, id, zone string) {
+	tb.setBehaviour(id, tb.counted(answersAfter(work))) // first, since a listed server may be asked at once
 	tb.directory.Put(directory.Entry{
 		Server:   membership.BackendServer{ID: id, Service: service, Zone: zone, Address: "10.0.0.1:1", State: membership.StateLive},
 		Capacity: 2,
 	})
-	tb.setBehaviour(id, tb.counted(answersAfter(work)))
 }
 
 func record(service string) []byte { return []byte(fmt.Sprintf("%-16s", service)) }
--- a/pkg/forward/trace.go
+++ b/pkg/forward/trace.go
@@ -15,6 +15,7 @@
 	Hedges        int      // attempts made because a server was slow
 	Retries       int      // attempts made because a server failed or refused
 	Relayed       int      // shards that were requested from another instance
+	LeftOut       int      // hedges and parts that were not asked for because capacity was short
 	Denied        int      // hedges and retries that the budget did not allow
 	Events        []AttemptEvent
 	DroppedEvents int // events beyond maxTraceEvents
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -8,9 +8,10 @@
 )
 
 // mustWait reports whether a first attempt has to wait for its server. An attempt that would
-// miss the cutoff waits until the cutoff. After the cutoff, and before it while there are
-// requests of a higher priority, an attempt waits until a limited server has nothing else to
-// do for this instance. At a slow server that must finish the part it waits only for free
+// miss the cutoff waits until the cutoff. Before the cutoff an attempt also waits until others
+// at the service that go first have started. After the cutoff, and before it while there are
+// requests of a higher priority, it waits until a limited server has nothing else to do for
+// this instance, unless those requests have gone first for too long. At a slow server that must finish the part it waits only for free
 // capacity.
 func (r *activeRequest) mustWait(s *shardRequest, choice replicas.Choice, why purpose, now time.Time) bool {
 	if why != first || !r.route.Sharded() {
@@ -20,7 +21,7 @@
 		return choice.AtCapacity
 	}
 	if now.Before(r.timing.cutoff) {
-		return choice.AtLimit || r.wouldBeLate(choice, now) || choice.LimitedAndBusy && r.engine.priorities.hasHigher(r.route.Priority, now)
+		return choice.AtLimit || r.wouldBeLate(choice, now) || r.othersGoFirst(s, choice, now)
 	}
 	return choice.LimitedAndBusy
 }
@@ -47,6 +48,9 @@
 		}
 		// A server may have started to leave while the attempt waited.
 		s.servers = r.engine.directory.Servers(s.service)
+		if !now.Before(r.timing.cutoff) {
+			r.leaveQueue(s, false) // it would keep back attempts that are still in time
+		}
 		switch {
 		case r.servesPeer && !now.Before(r.timing.cutoff):
 			s.waiting = false
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -5,6 +5,7 @@
 
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 )
 
 // exchange holds one request and its answer for the log and the metrics.
@@ -22,6 +23,18 @@
 	Took          time.Duration
 }
 
+// spreadRetry turns the pause of a refusal into a random one that the caller honours.
+func (e *exchange) spreadRetry(refusal *forward.Refusal) {
+	if refusal.RetryAfter <= 0 {
+		return
+	}
+	pause := shedding.Pause{Capacity: refusal.RetryAfter}
+	if e.CallerTimeout > 0 {
+		pause.Remaining = max(e.CallerTimeout-time.Since(e.Arrived), time.Millisecond)
+	}
+	refusal.RetryAfter = shedding.RetryAfter(pause)
+}
+
 // outcome returns the class of an exchange for metrics and logs. A late answer
 // counts as late even when shards are missing from it.
 func (e *exchange) outcome() string {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -71,6 +71,7 @@
 	table, route, refusal := g.route(r)
 	if refusal != nil {
 		e.Table = table
+		e.spreadRetry(refusal)
 		return &forward.Answer{Refusal: refusal}
 	}
 	e.Table, e.Route = table, route
--- a/pkg/gateway/recorder.go
+++ b/pkg/gateway/recorder.go
@@ -79,6 +79,9 @@
 	if t.Hedges+t.Retries+t.Denied > 0 {
 		attrs = append(attrs, slog.Int("hedges", t.Hedges), slog.Int("retries", t.Retries), slog.Int("denied", t.Denied))
 	}
+	if t.LeftOut > 0 {
+		attrs = append(attrs, slog.Int("left_out", t.LeftOut))
+	}
 	attrs = append(attrs, stageAttr(&t.Stages))
 	if len(t.Events) > 0 {
 		attrs = append(attrs, slog.Any("troubles", t.Events))
@@ -109,6 +112,7 @@
 	r.registry.Counter("attempts_total").Add(int64(t.Attempts))
 	r.registry.Counter("hedges_total").Add(int64(t.Hedges))
 	r.registry.Counter("retries_total").Add(int64(t.Retries))
+	r.registry.Counter("left_out_total").Add(int64(t.LeftOut))
 	r.registry.Counter("extra_attempts_denied_total").Add(int64(t.Denied))
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -168,6 +168,10 @@
 		OnLatenessChange: r.logLateness,
 		OnSuspect:        r.reporter.Report,
 	})
+	r.registry.Func("services_short", func() any {
+		short, severe := engine.ShortServices()
+		return map[string]int{"short": short, "severe": severe}
+	})
 	r.warmer = &warmer{zone: s.Instance.Zone, directory: r.directory, follower: r.follower, engine: engine, sender: r.sender}
 	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.reporter, r.seeds)
 	peerHandler := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -31,7 +31,11 @@
 	AtLimit bool    // its concurrency limit allows no further attempt now
 	// ExpectedLatency is the estimated reply time of a limited server, 0 for one without a limit.
 	ExpectedLatency time.Duration
-	LimitedAndBusy  bool // it is limited, and full or running attempts; another attempt delays them
+	// FreeIn is the expected time until a server at its limit takes another attempt.
+	FreeIn time.Duration
+	// Limit is the number of attempts that the limit allows at once, 0 without one.
+	Limit          float64
+	LimitedAndBusy bool // it is limited, and full or running attempts; another attempt delays them
 	// Slow is set for a limited server that replies late even with one attempt at a time.
 	Slow       bool
 	AtCapacity bool // it runs as many attempts as its capacity
@@ -91,9 +95,11 @@
 	expected := time.Duration(max(state.slowness, 1) * float64(t.latencies[route].get()))
 	if state.limit.value != 0 {
 		c.ExpectedLatency = expected
+		c.Limit = state.limit.value
 	}
 	if state.limit.full(len(state.running), now.Sub(state.lastAttemptEnd), expected) {
 		c.AtLimit = true
+		c.FreeIn = state.freeIn(expected, now)
 		c.Score += limitedPenalty
 	}
 	c.Slow = state.limit.slow()
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -112,6 +112,15 @@
 	s.consecutiveEjections = 0
 }
 
+// freeIn returns the expected time until the limit allows another attempt: the rest of the
+// attempt that began first, or of the idle time that a limit below 1 requires.
+func (s *server) freeIn(expected time.Duration, now time.Time) time.Duration {
+	if len(s.running) > 0 {
+		return max(expected-now.Sub(s.running[0].began), 0)
+	}
+	return max(time.Duration((1/s.limit.value-1)*float64(expected))-now.Sub(s.lastAttemptEnd), 0)
+}
+
 func (s *server) removeAttempt(a *Attempt) {
 	for i, other := range s.running {
 		if other == a {
