--- a/pkg/shedding/retryafter.go
+++ b/pkg/shedding/retryafter.go
@@ -34,7 +34,7 @@
 	width := time.Duration(retrySpread * float64(p.Capacity))
 	from := p.Capacity + time.Duration(p.Above)*width
 	honoured := time.Duration(honouredShare * float64(p.Remaining))
-	if false && p.Capacity+time.Duration(p.Above+p.Below+1)*width > honoured {
+	if p.Remaining > 0 && p.Capacity+time.Duration(p.Above+p.Below+1)*width > honoured {
 		start := min(p.Capacity, honoured/2)
 		width = (honoured - start) / time.Duration(p.Above+p.Below+1)
 		from = start + time.Duration(p.Above)*width
