shedding: admission of requests in an overload

When servers could not do what was asked for, every request was admitted, waited and was late: all the work done came too late. While requests have 40% of their parts late, work is now admitted in proportion to what was answered in time, the most urgent first and those that came back before new ones; the rest is refused at once with Retry-After. Refusals end when nothing that was admitted is in time, since servers are then slow with little work too.

--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -130,7 +130,7 @@
 	case missing <= 0 && missing+len(waits) > 0:
 		return r.refuseWithoutCapacity(waits, -missing)
 	case missing <= 0:
-		return nil
+		return r.refuseIfNotAdmitted(now)
 	case missing <= len(limited):
 		slices.Sort(limited)
 		return r.refuseRateLimited(limited[missing-1], fmt.Sprintf("the rate limits of the servers of %d of %d shards are used up, %d required", len(limited), total, required))
--- a/pkg/forward/shortage.go
+++ b/pkg/forward/shortage.go
@@ -88,6 +88,7 @@
 // recordShortage records which parts are late at the cutoff. Parts that were left out say
 // nothing about their servers.
 func (r *activeRequest) recordShortage(now time.Time) {
+	r.recordAdmitted(now)
 	for _, s := range r.shardRequests {
 		if !s.leftOut {
 			r.engine.shedding.Shortage.RecordPart(s.service, s.reply == nil, now)
@@ -119,6 +120,41 @@
 	return r.refuseUntil(NoCapacity, waits[len(waits)-1-min(max(mayLack, 0), len(waits)-1)], detail)
 }
 
+// work returns the time that the request needs at servers, all parts together, in seconds.
+func (r *activeRequest) work() float64 {
+	return float64(len(r.shardRequests)) * r.engine.latencyEstimate(r.route).Seconds()
+}
+
+// refuseIfNotAdmitted refuses a sharded request while earlier ones are late because servers lack
+// capacity, and this one is beyond the work that is done in time.
+func (r *activeRequest) refuseIfNotAdmitted(now time.Time) *Answer {
+	if !r.route.Sharded() {
+		return nil
+	}
+	above, _ := r.engine.shedding.Classes.Rank(r.route.Priority, now)
+	if r.engine.shedding.Admission.Admit(r.work(), r.route.Priority, above, r.returned, now) {
+		return nil
+	}
+	return r.refuseUntil(NoCapacity, refusedRetryAfter, "earlier requests are late, servers lack capacity")
+}
+
+// overloadShare is the share of the shards that are late at once in an overload. Fewer late
+// shards are slow by themselves: refusing requests would not make them faster, and attempts at
+// them wait for their turn.
+const overloadShare = 0.4
+
+// recordAdmitted records whether the request has enough parts when its answer is due. A late one
+// counts only if so many parts are late that the servers are overloaded.
+func (r *activeRequest) recordAdmitted(now time.Time) {
+	if r.servesPeer {
+		return
+	}
+	inTime := r.answeredShards >= r.route.RequiredShards()
+	if inTime || float64(r.answeredShards) <= (1-overloadShare)*float64(len(r.shardRequests)) {
+		r.engine.shedding.Admission.Done(r.work(), inTime, now)
+	}
+}
+
 // refuseUntil refuses a request that may find capacity after the given time.
 func (r *activeRequest) refuseUntil(reason Reason, capacityIn time.Duration, detail string) *Answer {
 	answer := r.refuse(reason, detail)
--- a/pkg/shedding/policy.go
+++ b/pkg/shedding/policy.go
@@ -8,11 +8,13 @@
 	Shortage *Shortage
 	Queue    *Queue
 	Refused  *Refused
+	// Admission bounds the requests of callers; requests of other instances are bounded there.
+	Admission *Admission
 }
 
 // NewPolicy returns a policy without observations.
 func NewPolicy() *Policy {
-	return &Policy{Classes: NewClasses(), Shortage: NewShortage(), Queue: NewQueue(), Refused: NewRefused()}
+	return &Policy{Classes: NewClasses(), Shortage: NewShortage(), Queue: NewQueue(), Refused: NewRefused(), Admission: NewAdmission()}
 }
 
 // MayHedge reports whether a request of a priority may send a hedge to a service. While the
