--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -41,6 +41,7 @@
 	timing            timing
 	shardRequests     []*shardRequest
 	trace             Trace
+	stages            stageClock
 
 	ctx      context.Context // of the attempts
 	cancel   context.CancelFunc
@@ -53,6 +54,9 @@
 	mergedBodies [][]byte        // merged parts that relays have sent
 	relayZone    string          // zone whose relay gets the shards without a server in this zone
 
+	wake     chan struct{} // gets a value when a waiting attempt may have capacity
+	returned bool          // the request came back after a refusal
+
 	wakeAt time.Time // time at which loop wakes up even without an event; zero means never
 
 	maxMissingShare  float64 // share of shards that an answer may lack, 0 to 1
@@ -83,11 +87,12 @@
 	if route.Sharded() {
 		r.trace.Shards = len(services)
 		r.maxMissingShare = 1 - float64(route.RequiredShards())/float64(len(services))
-		e.priorities.record(route.Priority, request.Arrived)
+		e.shedding.Classes.Record(route.Priority, request.Arrived)
 	} else {
 		r.trace.Service = services[0]
 	}
 	r.results = make(chan attemptResult, servers)
+	r.wake = make(chan struct{}, 1)
 	r.relayEvents = make(chan relayEvent, relayEventsPerShard*len(services))
 	// Attempts continue after the answer: one that was slower than its hedge ends
 	// normally, which keeps its connection usable and measures the server's reply time.
@@ -143,11 +148,13 @@
 		r.engine.shardedInProgress.Add(1)
 		defer r.engine.shardedInProgress.Add(-1)
 	}
+	r.stages.began = time.Now()
 	for _, s := range r.shardRequests {
 		if !r.launch(s, first) {
 			r.markLost(s)
 		}
 	}
+	r.stages.fannedOut = time.Now()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -158,13 +165,17 @@
 			r.recordLateness(r.timing.cutoff)
 			return true
 		}
-		timer.Reset(r.nextWakeup(now).Sub(now))
+		wakeup := r.nextWakeup(now)
+		timer.Reset(wakeup.Sub(now))
 		select {
 		case res := <-r.results:
 			r.handleResult(res)
 		case e := <-r.relayEvents:
 			r.handleRelayEvent(e)
 		case <-timer.C:
+			fired := time.Now()
+			r.engine.shedding.Shortage.RecordTimer(fired.Sub(wakeup), fired)
+		case <-r.wake:
 		case <-ctx.Done():
 			r.cancel()
 			return false
@@ -190,6 +201,7 @@
 		return
 	}
 	r.latenessRecorded = true
+	r.recordShortage(now)
 	late := 1 - float64(r.answeredShards)/float64(len(r.shardRequests))
 	if change := r.engine.lateness.record(r.route.Name, late, r.maxMissingShare, now); change != nil {
 		r.engine.onLatenessChange(*change)
@@ -202,6 +214,7 @@
 	for _, s := range r.shardRequests {
 		s.withdrawUnsent()
 		r.dropReservation(s, time.Now())
+		r.leaveQueue(s, false)
 	}
 }
 
@@ -256,12 +269,14 @@
 }
 
 func (r *activeRequest) markLost(s *shardRequest) {
+	r.leaveQueue(s, false)
 	s.lost = true
 	r.lostShards++
 }
 
 func (r *activeRequest) finishTrace() Trace {
 	r.trace.Parts = r.answeredShards
+	r.stages.finish(&r.trace.Stages)
 	for _, s := range r.shardRequests {
 		if s.reply == nil {
 			r.trace.Missing = append(r.trace.Missing, s.service)
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -54,6 +54,9 @@
 		s.waiting = true
 		return true
 	}
+	if r.isLeftOut(s, why, now) {
+		return false
+	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
 		s.servers = r.usableServers(s.service)
@@ -68,11 +71,14 @@
 	if r.mustWait(s, choice, why, now) {
 		if !s.waiting {
 			r.traceEvent(s, AttemptEvent{Server: choice.Server.ID, Event: "waits for room"})
+			r.engine.shedding.Shortage.RecordPart(s.service, true, now)
 		}
 		s.waiting = true
+		r.updateQueue(s, choice, now)
 		return true
 	}
 	s.waiting = false
+	r.recordTurn(s, choice, why)
 	if !r.start(s, choice, why, now) {
 		return false
 	}
@@ -100,6 +106,9 @@
 // request counts for the budget of the instance that executes the attempt: this one, or
 // the relay that gets it.
 func (r *activeRequest) startFirst(s *shardRequest, choice replicas.Choice, why purpose, now time.Time) {
+	if why == first {
+		r.stages.recordStart(&r.trace.Stages, now)
+	}
 	if !s.countedInBudget {
 		s.countedInBudget = true
 		if zone, relay := r.relayFor(s, choice.Server, why); relay != nil {
@@ -326,6 +335,7 @@
 		}
 	}
 	tracked.End(outcomeOf(&res, r.ctx.Err()), now)
+	r.engine.shedding.Queue.Wake(call.Server.Service)
 	deliver(r.ctx, r.results, res)
 }
 
