forward: slow servers are no shortage

Cause: a part that was late at the cutoff counted as a lack of capacity, so hedges of the less urgent were left out while servers were merely slow, where hedges help. Change: only attempts that still wait for capacity at the cutoff count. TestSlowServersAreNoShortage fails before.

--- a/pkg/forward/shedding_test.go
+++ b/pkg/forward/shedding_test.go
@@ -174,3 +174,22 @@
 		assert.Equal(t, took, work)
 	})
 }
+
+// Guards against hedges that are left out for servers that are slow by themselves: fewer of the
+// less urgent requests were in time with it, and no more of the urgent ones.
+func TestSlowServersAreNoShortage(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		urgent := tb.shardedRoute(4, 0.5)
+		full := lessUrgent(urgent)
+		tb.warmUp(urgent)
+		tb.warmUp(full)
+		for _, id := range []string{"s00.a", "s00.b"} {
+			tb.setBehaviour(id, tb.counted(answersAfter(urgent.TargetLatency)))
+		}
+		for range 8 {
+			tb.ask(background, urgent)
+			time.Sleep(urgent.TargetLatency)
+		}
+		assert.Assert(t, tb.engine.shedding.MayHedge("s00", full.Priority, time.Now()))
+	})
+}
--- a/pkg/forward/shortage.go
+++ b/pkg/forward/shortage.go
@@ -85,12 +85,13 @@
 	return true
 }
 
-// recordShortage records which parts are late at the cutoff. Parts that were left out say
-// nothing about their servers.
+// recordShortage records which parts lack capacity at the cutoff: their attempts still wait for it.
+// A part that is late at a server without a limit shows a slow or paused server. A hedge covers
+// it, so that hedges must not be left out then.
 func (r *activeRequest) recordShortage(now time.Time) {
 	r.recordAdmitted(now)
 	for _, s := range r.shardRequests {
-		if !s.leftOut {
+		if s.reply != nil || s.waiting {
 			r.engine.shedding.Shortage.RecordPart(s.service, s.reply == nil, now)
 		}
 	}
