replicas: load that servers report counts in the choice

Replies of some services state the running and the waiting requests, the slots and how long work takes; the value was ignored, so an instance saw only its own requests at a server. It counts for 100 ms after the reply and says nothing afterwards, or if a figure is missing or out of range.

TestStatedLoadCountsWhileFresh fails without the use of the value and without its end.

--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -41,6 +41,9 @@
 			a.server.pausedUntil = until
 		}
 	}
+	if notice.Load != nil {
+		a.server.load = statedLoad{Load: *notice.Load, at: now}
+	}
 	if notice.ColdFor > 0 {
 		a.server.statedColdUntil = now.Add(notice.ColdFor)
 	}
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -82,6 +82,11 @@
 		slowness = max(slowness, coldSlowness)
 	}
 	load := float64(len(state.running)) / float64(max(candidate.Capacity, 1))
+	if state.load.fresh(now) {
+		// The server knows the requests of all instances, this one those that it has sent since.
+		statedLoad, statedSlowness := state.load.busyness()
+		load, slowness = max(load, statedLoad), max(slowness, statedSlowness)
+	}
 	c.Score = slowness * (1 + load) * (1 + errorFactor*state.errorRate)
 	if candidate.Zone != t.zone {
 		c.Score *= remoteZoneFactor
--- a/pkg/replicas/notice.go
+++ b/pkg/replicas/notice.go
@@ -11,5 +11,6 @@
 	RateLimit float64
 	// ColdFor is how long the server is still slow after a start; 0 states nothing.
 	ColdFor time.Duration
-	Leaving bool // the server is about to end and wants no further requests
+	Load    *Load // nil states nothing
+	Leaving bool  // the server is about to end and wants no further requests
 }
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -51,6 +51,7 @@
 	misdirectedAt        time.Time // when another server last answered at the address
 	leaving              bool      // the server has said that it leaves
 	rate                 rateLimit
+	load                 statedLoad
 	statedColdUntil      time.Time // until then the server is cold, as its replies say
 	pausedUntil          time.Time // until then the server wants no requests from this instance
 }
