directory: waits for a leaving server end when its zone is drained

An attempt that waits for a connection to a server that has begun to leave, and that is the only one of its service, was woken by nothing: Leaves was nil. When the zone was drained it was held back until a connection was free, and only then refused. Leaves is now open for a leaving server and closed when its zone is drained, or when the server is replaced or forgotten.

Warm servers no longer need a look at the table for each choice.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -284,12 +284,12 @@
 		next.ReturnedAt = d.returned[next.Zone]
 	}
 	switch {
-	case next != nil && next.stays() && old != nil && old.stays() && next.Key() == old.Key():
+	case next != nil && !next.drained && old.mayBecome(next):
 		next.leaves = old.leaves
-	case old != nil && old.stays():
+	case old != nil && !old.drained:
 		close(old.leaves)
 	}
-	if next != nil && next.stays() && next.leaves == nil {
+	if next != nil && !next.drained && next.leaves == nil {
 		next.leaves = make(chan struct{})
 	}
 	if old != nil {
--- a/pkg/directory/drainedzone_test.go
+++ b/pkg/directory/drainedzone_test.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// Guards against waits for a server that had begun to leave before its zone was drained: they
+// have to end, too, and waits must not end when such a server stays after all.
+func TestWaitsForLeavingServerEndWhenItsZoneIsDrained(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entryIn("z0", "a", membership.StateLeaving))
+	chosen := d.LastResort("s")[0]
+	d.Put(entryIn("z0", "a", membership.StateLive))
+	assert.Assert(t, !closed(chosen.Leaves()))
+	d.Put(entryIn("z0", "a", membership.StateLeaving))
+	chosen = d.LastResort("s")[0]
+	assert.Assert(t, !closed(chosen.Leaves()))
+	d.DrainZone("z0")
+	assert.Assert(t, closed(chosen.Leaves()) && d.HasBegunToLeave(chosen))
+}
+
 // Guards against a server that counts as cold after it has said otherwise, and against a zone
 // whose return is forgotten because its servers write new entries, as they do all the time.
 func TestServersAreAssumedColdAfterTheReturn(t *testing.T) {
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -26,19 +26,23 @@
 	ColdAssumed bool
 
 	drained bool          // the operator has drained the server's zone
-	leaves  chan struct{} // closed when this run of the server begins to leave or its zone is drained; nil afterwards
+	leaves  chan struct{} // see Leaves; nil in a drained zone
 }
 
 // Leaving reports whether the server drains or is no longer listed. Such a server is used
 // only if no other one can be.
 func (s *Server) Leaving() bool { return !s.LeavingSince.IsZero() }
 
-// stays reports whether the server neither leaves nor is in a drained zone.
-func (s *Server) stays() bool { return !s.Leaving() && !s.drained }
+// mayBecome reports whether requests that wait for the server in this state may go on waiting
+// for it in another one: it is the same run, was not drained and has not begun to leave. S may
+// be nil.
+func (s *Server) mayBecome(next *Server) bool {
+	return s != nil && !s.drained && s.Key() == next.Key() && (s.Leaving() || !next.Leaving())
+}
 
 // Leaves returns a channel that is closed when this run of the server begins to leave, is
-// replaced by another one, or when its zone is drained. The channel is nil if the server is
-// leaving already.
+// replaced by another one or forgotten, or when its zone is drained. Of a server that is leaving
+// already it is open until its zone is drained or the server is replaced or forgotten.
 func (s *Server) Leaves() <-chan struct{} { return s.leaves }
 
 // Key identifies one run of the server's process at one address.
--- a/pkg/forward/drainedzone_test.go
+++ b/pkg/forward/drainedzone_test.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// Guards against sending to a server of a drained zone when a connection is free before the
-// end of the wait is noticed, and to one that leaves, whose waits do not end early.
-func TestNothingIsSentToDrainedZoneAfterWaiting(t *testing.T) {
+// Guards against a request that is held back, or sent, after it has waited for a connection to a
+// server that leaves and whose zone is drained: no server is left, so it is refused at once.
+func TestWaitAtLeavingServerEndsWhenZoneIsDrained(t *testing.T) {
 	simulate(t, func(t *testing.T, tb *testbed) {
 		tb.addServer("lone", "lone.a", localZone)
 		tb.drain("lone", "lone.a", localZone, 0)
@@ -108,12 +108,40 @@
 			WeightedServices: []routing.WeightedService{{Service: "lone", Weight: 1}}}
 		tb.occupy("lone.a", time.Second)
 		tb.drainZone(localZone, 100*time.Millisecond)
-		answer, _ := tb.ask(background, route)
+		answer, took := tb.ask(background, route)
 		assert.Assert(t, answer.Refusal != nil && answer.Refusal.NotRun)
+		assert.Equal(t, took, 100*time.Millisecond)
 		assert.Equal(t, tb.arrivalCount(), 0)
 	})
 }
 
+// Guards against sending to a server of a drained zone when a connection is free before the end
+// of the wait is noticed.
+func TestNothingIsSentToDrainedZoneAfterWaiting(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		route := tb.singleRoute(true)
+		var unnoticed []bool
+		tb.setBehaviour("one.a", tb.counted(answersAfter(work)))
+		tb.engine.client = clientFunc(func(ctx context.Context, call Call) (*Reply, error) {
+			if call.Server.Zone == localZone {
+				tb.directory.DrainZone(localZone)
+				call.Leaves = nil
+				unnoticed = append(unnoticed, true)
+			}
+			return tb.Call(ctx, call)
+		})
+		answer, _ := tb.ask(background, route)
+		assert.Assert(t, answer.Refusal == nil)
+		assert.Equal(t, len(unnoticed), 1)
+		assert.DeepEqual(t, tb.arrivals, []string{"one one.b"})
+	})
+}
+
+// clientFunc implements BackendClient.
+type clientFunc func(ctx context.Context, call Call) (*Reply, error)
+
+func (f clientFunc) Call(ctx context.Context, call Call) (*Reply, error) { return f(ctx, call) }
+
 // Guards against an attempt that waits for the rate limit of its server and is sent although
 // the zone has been drained meanwhile.
 func TestReservationEndsWhenZoneIsDrained(t *testing.T) {
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -76,8 +76,7 @@
 		return c, false
 	}
 	slowness := state.slowness
-	warmUp := t.warmUp(candidate.Service)
-	cold := now.Before(coldUntil(candidate, state.statedColdUntil, warmUp))
+	cold, coldRate := t.coldness(candidate, state.statedColdUntil, now)
 	if cold {
 		slowness = max(slowness, coldSlowness)
 	}
@@ -110,7 +109,7 @@
 		c.Ejected = true
 		c.Score += ejectedPenalty
 	}
-	state.rate.setCold(cold, warmUp.Rate, now)
+	state.rate.setCold(coldRate, now)
 	if limit := state.rate.lowest(); limit != 0 {
 		share := t.sharing.RateShare(candidate.ID, candidate.Zone, limit)
 		state.rate.refill(share, now)
--- a/pkg/replicas/ratelimit.go
+++ b/pkg/replicas/ratelimit.go
@@ -43,13 +43,10 @@
 	}
 }
 
-// setCold takes in whether the server is cold, and the rate that holds while it is. The bucket
+// setCold takes in the rate that holds while the server is cold, 0 if none does. The bucket
 // starts empty: the instances learn of a cold start at about the same time, and a first request
 // of each could already be too many.
-func (l *rateLimit) setCold(cold bool, rate float64, now time.Time) {
-	if !cold {
-		rate = 0
-	}
+func (l *rateLimit) setCold(rate float64, now time.Time) {
 	if rate == l.cold {
 		return
 	}
--- a/pkg/replicas/warmup.go
+++ b/pkg/replicas/warmup.go
@@ -24,20 +24,19 @@
 	return t.WarmUps(service)
 }
 
-// coldUntil returns the end of the time in which a server is cold: as its entry or its replies
-// say or, until an entry says more, for its service's warm-up time after the return of its zone.
-func coldUntil(candidate *directory.Server, stated time.Time, warmUp WarmUp) time.Time {
-	until := candidate.WarmAt
-	if stated.After(until) {
-		until = stated
+// coldness reports whether a server is cold: as its entry or its replies say or, until an entry
+// says more, for its service's warm-up time after the return of its zone. Rate is what the
+// instances share while it is, 0 for no limit.
+func (t *Tracker) coldness(candidate *directory.Server, stated, now time.Time) (cold bool, rate float64) {
+	cold = now.Before(candidate.WarmAt) || now.Before(stated)
+	if !cold && !candidate.ColdAssumed {
+		return false, 0 // most servers at most times; the table is not asked
 	}
-	if !candidate.ColdAssumed {
-		return until
+	warmUp := t.warmUp(candidate.Service)
+	if !cold && !now.Before(candidate.ReturnedAt.Add(warmUp.Time)) {
+		return false, 0
 	}
-	if assumed := candidate.ReturnedAt.Add(warmUp.Time); assumed.After(until) {
-		until = assumed
-	}
-	return until
+	return true, warmUp.Rate
 }
 
 // maxSharing is by how much the requests of all instances in one second may exceed the rate that
