forward: the return ramp does not hold back what no other server can take

While a zone returned, requests waited for stalled or limited servers of other zones although the returned zone had idle ones. TestReturnedZoneTakesWhatOthersCannot: refused before, answered in 15 ms now.

--- a/pkg/forward/drainedzone_test.go
+++ b/pkg/forward/drainedzone_test.go
@@ -263,3 +263,21 @@
 		assert.Equal(t, tb.arrivals[2], "one one.a")
 	})
 }
+
+// Guards against a request that waits for a busy server of another zone while one of the zone
+// that has just returned is idle.
+func TestReturnedZoneTakesWhatOthersCannot(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		tb.engine.tracker.WarmUps = func(string) replicas.WarmUp { return replicas.WarmUp{Time: time.Hour} }
+		route := tb.singleRoute(false)
+		tb.directory.DrainZone(localZone)
+		tb.setBehaviour("one.b", tb.counted(silent))
+		go tb.ask(background, route)
+		time.Sleep(time.Second) // the server of the other zone is stalled
+		tb.directory.ReturnZone(localZone)
+		answer, took := tb.ask(background, route)
+		assert.Assert(t, answer.Refusal == nil)
+		assert.Equal(t, took, work)
+		assert.Assert(t, tb.reached(".a"))
+	})
+}
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -228,7 +228,7 @@
 	tracker := r.engine.tracker
 	candidates := tracker.WithoutReturning(s.servers, s.returnDraw, now)
 	choice, ok := tracker.Choose(candidates, r.route.Name, s.wasTried, now)
-	if len(candidates) < len(s.servers) && (!ok || choice.Ejected || choice.RateDelay > 0) {
+	if len(candidates) < len(s.servers) && (!ok || choice.Stalled || choice.AtLimit || choice.Ejected || choice.RateDelay > 0) {
 		choice, ok = tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
 	}
 	if ok {
