directory: an entry that is read again does not make its server cold

A complete read applies entries that are known already. Each set the time in which its server is cold anew, so that after a read all servers whose last entry stated a warm-up would have got only the rate of cold servers. An entry of the known revision no longer changes that time.

TestEntryReadAgainDoesNotMakeAServerCold fails without the comparison.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -57,11 +57,16 @@
 
 func (d *Directory) putLocked(e Entry) Change {
 	now := d.now()
-	next := &Server{BackendServer: e.Server, Capacity: e.Capacity, Started: e.Started}
+	next := &Server{BackendServer: e.Server, Capacity: e.Capacity, Started: e.Started, Revision: e.Revision}
 	if e.WarmUp > 0 {
 		next.WarmAt = now.Add(e.WarmUp)
 	}
 	old := d.byID[e.Server.ID]
+	if old != nil && e.Revision != 0 && old.Revision == e.Revision && old.Key() == next.Key() {
+		// The entry is the one known already, in another complete list. It says nothing new
+		// about how long the server is cold.
+		next.WarmAt, next.ColdAssumed = old.WarmAt, old.ColdAssumed
+	}
 	if e.Server.State == membership.StateLeaving {
 		next.LeavingSince = now
 		if old != nil && old.Leaving() && old.Started == e.Started {
--- a/pkg/directory/drainedzone_test.go
+++ b/pkg/directory/drainedzone_test.go
@@ -81,6 +81,22 @@
 	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.Equal(d.now))
 }
 
+// Guards against servers that count as cold again because their old entries are read again with a
+// complete list: all of them would then get only the rate of cold servers.
+func TestEntryReadAgainDoesNotMakeAServerCold(t *testing.T) {
+	d := newTestDirectory()
+	cold := entryIn("z0", "a", membership.StateLive)
+	cold.WarmUp, cold.Revision = 3*time.Second, 7
+	d.Put(cold)
+	warmAt := d.now.Add(cold.WarmUp)
+	d.now = d.now.Add(time.Minute)
+	d.Replace([]Entry{cold})
+	assert.Equal(t, d.Servers("s")[0].WarmAt, warmAt)
+	cold.Revision = 8 // a new entry: the server is cold again
+	d.Replace([]Entry{cold})
+	assert.Equal(t, d.Servers("s")[0].WarmAt, d.now.Add(cold.WarmUp))
+}
+
 // Guards against a complete list that leaves a zone drained whose key has gone.
 func TestCompleteListReturnsOtherZones(t *testing.T) {
 	d := newTestDirectory()
--- a/pkg/directory/entry.go
+++ b/pkg/directory/entry.go
@@ -11,5 +11,6 @@
 	Server   membership.BackendServer // Team, Shard, Replica and Rack are not set
 	Capacity int                      // requests that the server runs concurrently
 	Started  int64                    // start time of the process in Unix milliseconds; 0 is unknown
+	Revision int64                    // of the entry in the platform's list; 0 is unknown
 	WarmUp   time.Duration            // remaining time in which the server is slow after its start
 }
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -13,6 +13,7 @@
 	membership.BackendServer
 	Capacity int       // requests that the server runs concurrently
 	Started  int64     // start of the process in Unix milliseconds; tells apart processes with the same ID
+	Revision int64     // of the entry that the state is from; 0 is unknown
 	WarmAt   time.Time // until this time the server is slow after its start
 	// LeavingSince is when this instance first saw that the server drains or that its
 	// entry is gone; zero for a server that is not leaving.
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -195,6 +195,7 @@
 			table, tableItem = decoded.Table, item
 		}
 		if decoded.Entry != nil {
+			decoded.Entry.Revision = item.Revision
 			entries = append(entries, *decoded.Entry)
 		}
 		if decoded.DrainedZone != "" && !item.Removed {
@@ -233,6 +234,7 @@
 		case decoded.Entry == nil:
 			f.logChange(f.directory.Remove(decoded.ServerID), item.Revision)
 		default:
+			decoded.Entry.Revision = item.Revision
 			f.logChange(f.directory.Put(*decoded.Entry), item.Revision)
 		}
 	}
