directory: a zone that returns at once is not taken for cold

An evacuation that the operator takes back before it took effect arrives as two changes together. The return ramp then took all requests from warm servers for their warm-up time. A zone that was drained for less than 1 s now returns without a ramp.

TestServersAreAssumedColdAfterTheReturn fails without the time.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -28,7 +28,7 @@
 	byID      map[string]*Server
 	byService map[string][]*Server // without drained zones; slices are shared with callers: replaced, never modified
 	drained   map[string]time.Time // zones that the operator has drained, and since when
-	returned  map[string]time.Time // zones that were drained before, and when they returned
+	returned  map[string]time.Time // zones that were drained for coldAfter or longer, and when they returned
 	// statedLeaving holds when servers said in a reply that they leave, by Server.Key. The
 	// platform's list may never say so, or this instance may not reach it.
 	statedLeaving map[string]time.Time
--- a/pkg/directory/drainedzone.go
+++ b/pkg/directory/drainedzone.go
@@ -12,6 +12,11 @@
 	Since time.Time // when this instance learned of it
 }
 
+// coldAfter is how long a zone is drained before its servers are assumed to be cold at its return.
+// When the operator takes an evacuation back at once, both changes can arrive together, and the
+// servers have got requests until a moment ago.
+const coldAfter = time.Second
+
 // DrainZone takes the backend servers of a zone out of use: from now on no list has them, MayUse
 // is false for them, and the channels of Leaves are closed. Requests in progress are not
 // affected. It returns nil if the zone is drained already.
@@ -22,8 +27,7 @@
 		return nil
 	}
 	d.drained[zone] = d.now()
-	delete(d.returned, zone)
-	return &ZoneChange{Zone: zone, Drained: true, Servers: d.refreshZoneLocked(zone)}
+	return &ZoneChange{Zone: zone, Drained: true, Servers: d.refreshZoneLocked(zone, false)}
 }
 
 // ReturnZone takes the backend servers of a drained zone into use again. It returns nil if the
@@ -35,12 +39,17 @@
 }
 
 func (d *Directory) returnZoneLocked(zone string) *ZoneChange {
-	if _, drained := d.drained[zone]; !drained {
+	since, drained := d.drained[zone]
+	if !drained {
 		return nil
 	}
 	delete(d.drained, zone)
-	d.returned[zone] = d.now()
-	return &ZoneChange{Zone: zone, Servers: d.refreshZoneLocked(zone)}
+	now := d.now()
+	cold := now.Sub(since) >= coldAfter
+	if cold {
+		d.returned[zone] = now
+	}
+	return &ZoneChange{Zone: zone, Servers: d.refreshZoneLocked(zone, cold)}
 }
 
 // ReturnOtherZones returns all drained zones that a complete list does not have. The changes are
@@ -76,8 +85,8 @@
 }
 
 // refreshZoneLocked applies a change of whether a zone is drained to its servers and returns
-// their number.
-func (d *Directory) refreshZoneLocked(zone string) int {
+// their number. Cold is set if the servers are assumed to be cold from now on.
+func (d *Directory) refreshZoneLocked(zone string, cold bool) int {
 	var servers []*Server
 	for _, server := range d.byID {
 		if server.Zone == zone {
@@ -86,7 +95,7 @@
 	}
 	for _, server := range servers {
 		next := *server
-		next.ColdAssumed = !d.isDrainedLocked(zone)
+		next.ColdAssumed = cold || server.ColdAssumed
 		d.replaceLocked(server, &next)
 	}
 	return len(servers)
--- a/pkg/directory/drainedzone_test.go
+++ b/pkg/directory/drainedzone_test.go
@@ -69,12 +69,18 @@
 }
 
 // Guards against a server that counts as cold after it has said otherwise, and against a zone
-// whose return is forgotten because its servers write new entries, as they do all the time.
+// whose return is forgotten because its servers write new entries. Guards against warm servers that
+// lose their requests when the operator takes an evacuation back at once.
 func TestServersAreAssumedColdAfterTheReturn(t *testing.T) {
 	d := newTestDirectory()
 	d.Put(entryIn("z0", "a", membership.StateLive))
 	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.IsZero())
 	d.DrainZone("z0")
+	d.now = d.now.Add(coldAfter - time.Millisecond)
+	d.ReturnZone("z0")
+	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.IsZero())
+	d.DrainZone("z0")
+	d.now = d.now.Add(coldAfter)
 	d.ReturnZone("z0")
 	assert.Assert(t, d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.Equal(d.now))
 	d.Put(entryIn("z0", "a", membership.StateLive))
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -19,8 +19,8 @@
 	// entry is gone; zero for a server that is not leaving.
 	LeavingSince time.Time
 
-	// ReturnedAt is when the server's zone was last taken into use again; zero if it has not
-	// been drained before.
+	// ReturnedAt is when the server's zone was last taken into use again after it was drained
+	// for coldAfter or longer; zero if that has not happened.
 	ReturnedAt time.Time
 	// ColdAssumed is set from the return of the zone until the server's next entry, which says
 	// whether the server is cold.
