--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -28,7 +28,7 @@
 	byID      map[string]*Server
 	byService map[string][]*Server // without drained zones; slices are shared with callers: replaced, never modified
 	drained   map[string]time.Time // zones that the operator has drained, and since when
-	returned  map[string]time.Time // zones that were drained before, and when they returned
+	returned  map[string]time.Time // zones that were drained for coldAfter or longer, and when they returned
 	// statedLeaving holds when servers said in a reply that they leave, by Server.Key. The
 	// platform's list may never say so, or this instance may not reach it.
 	statedLeaving map[string]time.Time
@@ -57,11 +57,16 @@
 
 func (d *Directory) putLocked(e Entry) Change {
 	now := d.now()
-	next := &Server{BackendServer: e.Server, Capacity: e.Capacity, Started: e.Started}
+	next := &Server{BackendServer: e.Server, Capacity: e.Capacity, Started: e.Started, Revision: e.Revision}
 	if e.WarmUp > 0 {
 		next.WarmAt = now.Add(e.WarmUp)
 	}
 	old := d.byID[e.Server.ID]
+	if old != nil && e.Revision != 0 && old.Revision == e.Revision && old.Key() == next.Key() {
+		// The entry is the one known already, in another complete list. It says nothing new
+		// about how long the server is cold.
+		next.WarmAt, next.ColdAssumed = old.WarmAt, old.ColdAssumed
+	}
 	if e.Server.State == membership.StateLeaving {
 		next.LeavingSince = now
 		if old != nil && old.Leaving() && old.Started == e.Started {
@@ -284,12 +289,12 @@
 		next.ReturnedAt = d.returned[next.Zone]
 	}
 	switch {
-	case next != nil && next.stays() && old != nil && old.stays() && next.Key() == old.Key():
+	case next != nil && !next.drained && old.mayBecome(next):
 		next.leaves = old.leaves
-	case old != nil && old.stays():
+	case old != nil && !old.drained:
 		close(old.leaves)
 	}
-	if next != nil && next.stays() && next.leaves == nil {
+	if next != nil && !next.drained && next.leaves == nil {
 		next.leaves = make(chan struct{})
 	}
 	if old != nil {
--- a/pkg/directory/drainedzone_test.go
+++ b/pkg/directory/drainedzone_test.go
@@ -53,19 +53,56 @@
 	}
 }
 
+// Guards against waits for a server that had begun to leave before its zone was drained: they
+// have to end, too, and waits must not end when such a server stays after all.
+func TestWaitsForLeavingServerEndWhenItsZoneIsDrained(t *testing.T) {
+	d := newTestDirectory()
+	d.Put(entryIn("z0", "a", membership.StateLeaving))
+	chosen := d.LastResort("s")[0]
+	d.Put(entryIn("z0", "a", membership.StateLive))
+	assert.Assert(t, !closed(chosen.Leaves()))
+	d.Put(entryIn("z0", "a", membership.StateLeaving))
+	chosen = d.LastResort("s")[0]
+	assert.Assert(t, !closed(chosen.Leaves()))
+	d.DrainZone("z0")
+	assert.Assert(t, closed(chosen.Leaves()) && d.HasBegunToLeave(chosen))
+}
+
 // Guards against a server that counts as cold after it has said otherwise, and against a zone
-// whose return is forgotten because its servers write new entries, as they do all the time.
+// whose return is forgotten because its servers write new entries. Guards against warm servers that
+// lose their requests when the operator takes an evacuation back at once.
 func TestServersAreAssumedColdAfterTheReturn(t *testing.T) {
 	d := newTestDirectory()
 	d.Put(entryIn("z0", "a", membership.StateLive))
 	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.IsZero())
 	d.DrainZone("z0")
+	d.now = d.now.Add(coldAfter - time.Millisecond)
+	d.ReturnZone("z0")
+	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.IsZero())
+	d.DrainZone("z0")
+	d.now = d.now.Add(coldAfter)
 	d.ReturnZone("z0")
 	assert.Assert(t, d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.Equal(d.now))
 	d.Put(entryIn("z0", "a", membership.StateLive))
 	assert.Assert(t, !d.Servers("s")[0].ColdAssumed && d.Servers("s")[0].ReturnedAt.Equal(d.now))
 }
 
+// Guards against servers that count as cold again because their old entries are read again with a
+// complete list: all of them would then get only the rate of cold servers.
+func TestEntryReadAgainDoesNotMakeAServerCold(t *testing.T) {
+	d := newTestDirectory()
+	cold := entryIn("z0", "a", membership.StateLive)
+	cold.WarmUp, cold.Revision = 3*time.Second, 7
+	d.Put(cold)
+	warmAt := d.now.Add(cold.WarmUp)
+	d.now = d.now.Add(time.Minute)
+	d.Replace([]Entry{cold})
+	assert.Equal(t, d.Servers("s")[0].WarmAt, warmAt)
+	cold.Revision = 8 // a new entry: the server is cold again
+	d.Replace([]Entry{cold})
+	assert.Equal(t, d.Servers("s")[0].WarmAt, d.now.Add(cold.WarmUp))
+}
+
 // Guards against a complete list that leaves a zone drained whose key has gone.
 func TestCompleteListReturnsOtherZones(t *testing.T) {
 	d := newTestDirectory()
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -80,12 +80,16 @@
 		return c, false
 	}
 	slowness := state.slowness
-	warmUp := t.warmUp(candidate.Service)
-	cold := now.Before(coldUntil(candidate, state.statedColdUntil, warmUp))
+	cold, coldRate := t.coldness(candidate, state.statedColdUntil, now)
 	if cold {
 		slowness = max(slowness, coldSlowness)
 	}
 	load := float64(len(state.running)) / float64(max(candidate.Capacity, 1))
+	if state.load.fresh(now) {
+		// The server knows the requests of all instances, this one those that it has sent since.
+		statedLoad, statedSlowness := state.load.busyness()
+		load, slowness = max(load, statedLoad), max(slowness, statedSlowness)
+	}
 	c.Score = slowness * (1 + load) * (1 + errorFactor*state.errorRate)
 	if candidate.Zone != t.zone {
 		c.Score *= remoteZoneFactor
@@ -111,7 +115,7 @@
 		c.Ejected = true
 		c.Score += ejectedPenalty
 	}
-	state.rate.setCold(cold, warmUp.Rate, now)
+	state.rate.setCold(coldRate, now)
 	if limit := state.rate.lowest(); limit != 0 {
 		share := t.sharing.RateShare(candidate.ID, candidate.Zone, limit)
 		state.rate.refill(share, now)
