peering: reports of suspects are sent once more

A report goes only to the instances that are known when it is sent, and the exchanges carry quarantines only.

A report is repeated after 1.5 s if the request is still suspected. TestReportIsRepeatedForInstancesKnownLater fails without (late knows 0 losses of 1).

--- a/pkg/peering/suspectreporter.go
+++ b/pkg/peering/suspectreporter.go
@@ -17,6 +17,11 @@
 	maxParallelReports = 16
 	// maxQueuedReports bounds the reports that wait to be sent.
 	maxQueuedReports = 256
+	// repeatAfter is when a report is sent once more, if the request is still suspected: some
+	// instances may not have been known when it was sent first, or not have answered. Most
+	// suspicions of innocent requests have ended by then, and it is well below the 4 s after
+	// which a crashing request may reach three more servers only.
+	repeatAfter = 1500 * time.Millisecond
 )
 
 // SuspectReporter tells the other instances about requests that may crash backend servers.
@@ -45,7 +50,17 @@
 
 // Report sends a suspect to other instances. It never blocks: a report that finds the queue
 // full is dropped and logged.
-func (r *SuspectReporter) Report(s suspects.Suspect) { r.enqueue(report{suspect: s}) }
+func (r *SuspectReporter) Report(s suspects.Suspect) { r.announce(report{suspect: s}) }
+
+// announce sends a report now and once more after repeatAfter with what is known then.
+func (r *SuspectReporter) announce(next report) {
+	r.enqueue(next)
+	time.AfterFunc(repeatAfter, func() {
+		if s, suspected := r.tracker.Suspect(next.suspect.Fingerprint, r.members.now()); suspected {
+			r.enqueue(report{suspect: s, localOnly: next.localOnly})
+		}
+	})
+}
 
 func (r *SuspectReporter) enqueue(next report) {
 	select {
@@ -132,7 +147,7 @@
 	for _, m := range reported {
 		s := suspectFromProto(m, now)
 		if r.tracker.Merge(s) && sender.Zone != r.members.Self().Zone {
-			r.enqueue(report{suspect: s, localOnly: true})
+			r.announce(report{suspect: s, localOnly: true})
 		}
 	}
 }
--- a/pkg/peering/suspectreporter_test.go
+++ b/pkg/peering/suspectreporter_test.go
@@ -126,3 +126,16 @@
 }
 
 func ptr[T any](value T) *T { return &value }
+
+// Guards against an instance that never learns of a loss because it was not known yet when the
+// report was sent, as shortly after a start: it would send the request on.
+func TestReportIsRepeatedForInstancesKnownLater(t *testing.T) {
+	all := newReportingInstances(t, 1, 1)
+	s := suspectOf(1)
+	all[0].tracker.Merge(s)
+	all[0].reporter.Report(s)
+	late := newReportingInstance(t, "late", all[0].member.Zone)
+	time.Sleep(2 * reportInterval) // for the first report to go out
+	all[0].members.Merge(late.member, 0)
+	everyoneKnows(t, append(all, late), 1)
+}
