--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -51,6 +51,7 @@
 	confirmed confirmation // of the whole view
 	confirmer *tableConfirmer
 	calls     StoreCalls
+	rejected  *rejections
 
 	mu        sync.Mutex // serializes changes of table, ready and storeLost
 	ready     chan struct{}
@@ -66,6 +67,7 @@
 		directory: d,
 		logger:    logger,
 		cache:     newWatchCache(),
+		rejected:  newRejections(logger),
 		ready:     make(chan struct{}),
 		storeLost: make(chan struct{}),
 	}
@@ -98,6 +100,9 @@
 // StoreCalls returns the numbers of calls to the store.
 func (f *Follower) StoreCalls() *StoreCalls { return &f.calls }
 
+// Rejected returns how many revisions of items could not be decoded.
+func (f *Follower) Rejected() int64 { return f.rejected.count.Load() }
+
 // Ready returns a channel that is closed once the table and the list of backend servers
 // have been read.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
@@ -248,7 +253,7 @@
 
 func (f *Follower) logDecodeError(item Item, decoded Decoded) {
 	if decoded.Err != nil {
-		f.logger.Warn("published item cannot be used", "key", item.Key, "revision", item.Revision, "error", decoded.Err)
+		f.rejected.record(item, decoded.Err)
 	}
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -140,6 +140,7 @@
 		return nil
 	})
 	r.registry.Func("store_calls", func() any { return r.follower.StoreCalls().Counts() })
+	r.registry.Func("rejected_items", func() any { return r.follower.Rejected() })
 	r.registry.Func("view_age_ms", func() any { return r.follower.Age().Milliseconds() })
 	r.registry.Func("backend_servers", func() any {
 		staying, leaving := r.directory.Count()
