--- a/pkg/backend/forward.go
+++ b/pkg/backend/forward.go
@@ -21,6 +21,9 @@
 	// which an idle connection is used. The margin keeps a request from being
 	// sent while the server is closing the connection.
 	usableIdleFraction = 0.7
+	// maxKeepAliveSeconds bounds the idle timeout that a server states; more would overflow a
+	// time.Duration.
+	maxKeepAliveSeconds = 24 * 60 * 60
 )
 
 // ForwardCall is a request that is passed on in the encoding that its caller
@@ -175,7 +178,7 @@
 		if err != nil || seconds < 0 {
 			return 0
 		}
-		return time.Duration(usableIdleFraction * float64(seconds) * float64(time.Second))
+		return time.Duration(usableIdleFraction * float64(min(seconds, maxKeepAliveSeconds)) * float64(time.Second))
 	}
 	return 0
 }
--- a/pkg/backend/forward_test.go
+++ b/pkg/backend/forward_test.go
@@ -264,3 +264,16 @@
 	assert.NilError(t, <-results)
 	assert.NilError(t, <-results)
 }
+
+// Guards against an idle timeout that overflows: a stated timeout of 1e10 s or more became
+// a negative or arbitrary time.
+func TestStatedIdleTimeIsBounded(t *testing.T) {
+	longest := usableIdleTime(http.Header{"Keep-Alive": {"timeout=86400"}})
+	assert.Assert(t, longest > 0)
+	for value, want := range map[string]time.Duration{
+		"timeout=10": 7 * time.Second, "max=5, timeout=10": 7 * time.Second, "timeout=-1": 0, "timeout=x": 0, "": 0,
+		"timeout=9223372036854775807": longest, "timeout=20000000000": longest, "timeout=99999999999999999999": 0,
+	} {
+		assert.Equal(t, usableIdleTime(http.Header{"Keep-Alive": {value}}), want, value)
+	}
+}
--- a/pkg/peering/member.go
+++ b/pkg/peering/member.go
@@ -35,6 +35,6 @@
 		Address:     m.GetAddress(),
 		Incarnation: m.GetIncarnation(),
 		Leaving:     m.GetLeaving(),
-		Millicores:  int(m.GetMillicores()),
+		Millicores:  bounded(m.GetMillicores(), maxMillicores),
 	}
 }
--- a/pkg/peering/ratesharing.go
+++ b/pkg/peering/ratesharing.go
@@ -36,14 +36,14 @@
 
 // share returns the part of a rate for one of the members among which it is divided.
 func share(serverID string, self Member, members []Member, rate float64) float64 {
-	sharers := int(rate / minSharedRate)
-	if sharers >= len(members) {
+	if rate/minSharedRate >= float64(len(members)) {
 		total := 0
 		for _, member := range members {
 			total += max(member.Millicores, 1)
 		}
 		return rate * float64(max(self.Millicores, 1)) / float64(max(total, 1))
 	}
+	sharers := min(max(int(rate/minSharedRate), 0), len(members)-1) // any number if the rate is none
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b Member) int {
 		return cmp.Compare(relayWeight(serverID, b), relayWeight(serverID, a))
--- a/pkg/peering/ratesharing_test.go
+++ b/pkg/peering/ratesharing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"testing"
 	"time"
 
@@ -53,3 +54,19 @@
 		}
 	})
 }
+
+// Guards against a server that ends the process by naming an absurd rate limit: above 1e19 the
+// number of instances with a share was negative on x86-64, and an index out of range.
+func TestAbsurdRateLimitsAreShared(t *testing.T) {
+	for _, limit := range []float64{1e20, math.MaxFloat64, math.Inf(1), 0, -1e20, math.Inf(-1), math.NaN()} {
+		for _, instances := range []int{1, 3} {
+			self := memberIn("i0", "z1")
+			m := NewMembers(self, time.Now, slog.New(slog.DiscardHandler))
+			for n := range instances {
+				m.Merge(memberIn(fmt.Sprint("i", n), "z1"), 0)
+			}
+			m.RateShare("server", "z1", limit)
+			m.RateShare("server", "z2", limit)
+		}
+	}
+}
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -216,10 +216,10 @@
 		},
 		Route:           m.GetRoute(),
 		Services:        m.GetServices(),
-		Top:             int(m.GetTop()),
-		MaxAttempts:     int(m.GetMaxAttempts()),
+		Top:             bounded(m.GetTop(), maxTop),
+		MaxAttempts:     bounded(m.GetMaxAttempts(), maxAttempts),
 		Priority:        int(m.GetPriority()),
-		MaxMissingShare: float64(m.GetMissable()),
+		MaxMissingShare: shareOf(m.GetMissable()),
 		Target:          fromMilliseconds(m.GetTargetMs()),
 		Cutoff:          now.Add(fromMilliseconds(m.GetCutoffMs())),
 		Deadline:        deadline,
@@ -228,7 +228,7 @@
 		Merge:           m.GetMerge(),
 	}
 	for _, n := range m.GetConnections() {
-		call.MaxConnections = append(call.MaxConnections, int(n))
+		call.MaxConnections = append(call.MaxConnections, bounded(n, maxConnections))
 	}
 	return call
 }
@@ -257,16 +257,16 @@
 	result := &forward.PartsResult{
 		Final:    m.GetFinal(),
 		Body:     m.GetBody(),
-		Attempts: int(m.GetAttempts()),
-		Hedges:   int(m.GetHedges()),
-		Retries:  int(m.GetRetries()),
+		Attempts: bounded(m.GetAttempts(), math.MaxInt32),
+		Hedges:   bounded(m.GetHedges(), math.MaxInt32),
+		Retries:  bounded(m.GetRetries(), math.MaxInt32),
 	}
 	for _, p := range m.GetParts() {
-		result.Parts = append(result.Parts, forward.Part{Index: int(p.GetIndex()), Proof: p.GetProof(), Body: p.GetBody()})
+		result.Parts = append(result.Parts, forward.Part{Index: bounded(p.GetIndex(), math.MaxInt32), Proof: p.GetProof(), Body: p.GetBody()})
 	}
 	for _, l := range m.GetLost() {
 		result.Lost = append(result.Lost, forward.LostPart{
-			Index: int(l.GetIndex()), Arrivals: int(l.GetArrivals()), MayRun: l.GetMayRun(), ExpiredServers: l.GetAgain(), Event: l.GetEvent(),
+			Index: bounded(l.GetIndex(), math.MaxInt32), Arrivals: bounded(l.GetArrivals(), maxAttempts), MayRun: l.GetMayRun(), ExpiredServers: l.GetAgain(), Event: l.GetEvent(),
 		})
 	}
 	if m.GetSuspect() != nil {
@@ -276,6 +276,9 @@
 	return result
 }
 
-func toMilliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+// toMilliseconds returns 0 for a negative time and the largest uint32, 49 days, for a longer one.
+func toMilliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
 
 func fromMilliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
