gateway, backend: bounds on the bytes of requests and answers, one copy of each body

Bodies of up to 256 KiB were read and then copied into one buffer for each attempt, without any bound, and an answer stayed in memory for as long as its caller read nothing.

Requests in progress now hold at most max_request_bytes_mib (default a quarter of the memory). A request beyond it is refused with 503 before its body is read; a quarter of the bound is kept for the highest priority. Header and body are written one after the other, so that all attempts share one copy. Answers that are being written are bounded by an eighth of the memory: beyond it the slowest reader is cut off with a log line. Replies of other instances are bounded, too.

--- a/pkg/backend/forward.go
+++ b/pkg/backend/forward.go
@@ -27,11 +27,12 @@
 // chose. The deadline of the context passed to Forward bounds it.
 type ForwardCall struct {
 	Method string // decides whether the reply has a body
-	// EncodeRequest returns request line, header and body. It is called when a connection
+	// EncodeRequest returns request line and header. It is called when a connection
 	// is ready, so that a remaining time in the header is correct. If it returns
 	// nil, the call fails without being sent.
 	EncodeRequest func() []byte
-	NewConnection bool // dial a new connection instead of reusing an idle one
+	Body          []byte // follows what EncodeRequest returns; it is not copied
+	NewConnection bool   // dial a new connection instead of reusing an idle one
 	// Leaves is closed when the server begins to leave. A call that waits for a connection
 	// then fails without being sent. A nil channel is never closed.
 	Leaves <-chan struct{}
@@ -117,7 +118,7 @@
 	conn.beginCall(0, deadline, p.opts.MaxReplyBytes)
 	stop := context.AfterFunc(ctx, conn.close)
 	defer stop()
-	if _, err := conn.Write(wire); err != nil {
+	if err := writeCall(conn, wire, call.Body); err != nil {
 		return nil, nil, err
 	}
 	for range maxStaleReplies {
@@ -135,6 +136,24 @@
 	return nil, nil, invalidReply("replies to other calls", nil)
 }
 
+// maxJoinedBody is the largest body that is copied behind the header, which saves a segment on
+// the network. Larger bodies are shared by all attempts of a request.
+const maxJoinedBody = 4 << 10
+
+func writeCall(conn *connection, header, body []byte) error {
+	if len(body) <= maxJoinedBody {
+		header, body = append(header, body...), nil
+	}
+	if _, err := conn.Write(header); err != nil {
+		return err
+	}
+	if len(body) == 0 {
+		return nil
+	}
+	_, err := conn.Write(body)
+	return err
+}
+
 // readReply reads the next reply with its body, skipping informational (1xx)
 // replies.
 func readReply(conn *connection, method string) (*http.Response, []byte, error) {
--- a/pkg/crashguard/fingerprint.go
+++ b/pkg/crashguard/fingerprint.go
@@ -13,15 +13,33 @@
 
 // Fingerprint identifies a request by the parts of its content. It does not depend
 // on the caller or on the instance that handles the request.
-func Fingerprint(parts ...string) uint64 {
-	digest := xxhash.New()
+func Fingerprint(parts ...string) uint64 { return nonZero(digest(parts)) }
+
+// FingerprintWithBody returns the Fingerprint of the parts followed by a body, which it does not
+// copy.
+func FingerprintWithBody(body []byte, parts ...string) uint64 {
+	d := digest(parts)
+	writeLength(d, len(body))
+	_, _ = d.Write(body)
+	return nonZero(d)
+}
+
+// nonZero returns the sum. Report uses 0 for "no request".
+func nonZero(d *xxhash.Digest) uint64 { return max(d.Sum64(), 1) }
+
+func digest(parts []string) *xxhash.Digest {
+	d := xxhash.New()
 	for _, part := range parts {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
-		_, _ = digest.WriteString(part)
+		writeLength(d, len(part))
+		_, _ = d.WriteString(part)
 	}
-	return max(digest.Sum64(), 1) // Report uses 0 for "no request"
+	return d
+}
+
+func writeLength(d *xxhash.Digest, n int) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(n))
+	_, _ = d.Write(length[:])
 }
 
 // FormatFingerprint returns the hexadecimal form of a fingerprint that logs and
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -76,6 +76,7 @@
 	forward.NoServer:        "refused because no backend server was usable (shortage)",
 	forward.RateLimited:     "refused because the rate limits that backend servers name were used up (shortage)",
 	forward.NoCapacity:      "refused because required shards had no capacity in time (shortage)",
+	forward.NoMemory:        "refused because requests in progress held as many bytes as this instance allows (shortage)",
 	forward.ServersRefused:  "refused because every backend server asked had no room (shortage)",
 	forward.TooFewShards:    "failed because fewer shards answered than the route requires (shortage)",
 	forward.TimedOut:        "ended at the caller's deadline or the route's timeout",
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -22,7 +22,7 @@
 func newCrashSuspicion(e *Engine, request *Request) *crashSuspicion {
 	return &crashSuspicion{
 		engine:      e,
-		fingerprint: crashguard.Fingerprint(request.Host, request.Method, request.Target, string(request.Body)),
+		fingerprint: crashguard.FingerprintWithBody(request.Body, request.Host, request.Method, request.Target),
 	}
 }
 
--- a/pkg/forward/pooledclient.go
+++ b/pkg/forward/pooledclient.go
@@ -28,8 +28,8 @@
 
 // Codec writes requests and reads replies in the backend servers' protocol.
 type Codec interface {
-	// EncodeCall returns the complete request as it is written to the server. Left is the
-	// time until the server may stop work on it.
+	// EncodeCall returns request line and header as they are written to the server before
+	// the body. Left is the time until the server may stop work on it.
 	EncodeCall(request *Request, server *directory.Server, left time.Duration) []byte
 	// Answers reports whether a reply with this header belongs to the request.
 	Answers(request *Request, header http.Header) bool
@@ -71,6 +71,7 @@
 			}
 			return c.codec.EncodeCall(call.Request, call.Server, left)
 		},
+		Body:          call.Request.Body,
 		NewConnection: call.NewConnection,
 		Leaves:        call.Leaves,
 		MatchesReply:  func(h http.Header) bool { return c.codec.Answers(call.Request, h) },
--- a/pkg/forward/reason.go
+++ b/pkg/forward/reason.go
@@ -13,6 +13,7 @@
 	NoServer        Reason = "no-backend-server" // shortage: no usable backend server
 	RateLimited     Reason = "rate-limited"      // shortage: the servers' own rate limits are used up
 	NoCapacity      Reason = "no-capacity"       // shortage: required shards have no capacity in time
+	NoMemory        Reason = "no-memory"         // shortage: requests in progress hold as many bytes as allowed
 	ServersRefused  Reason = "servers-refused"   // shortage: every server asked was at capacity
 	TooFewShards    Reason = "too-few-shards"    // shortage: fewer shards than the route requires
 	TimedOut        Reason = "timed-out"         // the caller's deadline or the route's timeout has passed
@@ -25,6 +26,6 @@
 
 // Reasons lists all reasons.
 var Reasons = []Reason{
-	NoTable, NoRoute, BodyTooLarge, BadRequest, NoServer, RateLimited, NoCapacity, ServersRefused, TooFewShards,
+	NoTable, NoRoute, BodyTooLarge, BadRequest, NoServer, RateLimited, NoCapacity, NoMemory, ServersRefused, TooFewShards,
 	TimedOut, AnswerLost, CallerLeft, CrashSuspect, ShuttingDown, ViewUnconfirmed,
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -21,6 +21,14 @@
 	Status        int
 	Read          time.Duration // from the arrival until the body was read
 	Took          time.Duration
+	lease         *shedding.Lease // nil until the route is known
+}
+
+// release gives back the bytes that the request held.
+func (e *exchange) release() {
+	if e.lease != nil {
+		e.lease.Release()
+	}
 }
 
 // spreadRetry turns the pause of a refusal into a random one that the caller honours.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 )
 
 const (
@@ -35,16 +35,20 @@
 	tables    Tables
 	forwarder Forwarder
 	recorder  *Recorder
+	requests  *shedding.Bytes
+	answers   *AnswerWriter
 }
 
-// New returns a gateway that routes by the given tables.
-func New(codec Codec, tables Tables, forwarder Forwarder, recorder *Recorder) *Gateway {
-	return &Gateway{codec: codec, tables: tables, forwarder: forwarder, recorder: recorder}
+// New returns a gateway that routes by the given tables. Requests bounds the bytes of requests
+// in progress, answers those of answers that are being written.
+func New(codec Codec, tables Tables, forwarder Forwarder, recorder *Recorder, requests *shedding.Bytes, answers *AnswerWriter) *Gateway {
+	return &Gateway{codec: codec, tables: tables, forwarder: forwarder, recorder: recorder, requests: requests, answers: answers}
 }
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e := g.newExchange(r)
+	defer e.release()
 	g.finish(w, r, &e, g.answer(r, &e))
 }
 
@@ -75,9 +79,11 @@
 		return &forward.Answer{Refusal: refusal}
 	}
 	e.Table, e.Route = table, route
-	body, refusal := readBody(r, table.Limits())
+	e.lease = g.requests.Lease(route.Priority <= 0)
+	body, refusal := readBody(r, table.Limits(), e.lease)
 	e.Read = time.Since(e.Arrived)
 	if refusal != nil {
+		e.spreadRetry(refusal)
 		return &forward.Answer{Refusal: refusal}
 	}
 	request := &forward.Request{
@@ -123,31 +129,6 @@
 	}
 }
 
-// readBody reads the whole body before the request is forwarded. The request can
-// then be sent again, and a slow caller does not occupy a backend server.
-func readBody(r *http.Request, limits routing.Limits) ([]byte, *forward.Refusal) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	limit := limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, &forward.Refusal{Reason: forward.BodyTooLarge, NotRun: true}
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	switch {
-	case err != nil && r.Context().Err() != nil:
-		return nil, &forward.Refusal{Reason: forward.CallerLeft, NotRun: true, Detail: err.Error()}
-	case err != nil:
-		return nil, &forward.Refusal{Reason: forward.BadRequest, NotRun: true, Detail: err.Error()}
-	case int64(len(body)) > limit:
-		return nil, &forward.Refusal{Reason: forward.BodyTooLarge, NotRun: true}
-	}
-	return body, nil
-}
-
 // logWriteError logs an answer that could not be written, usually because the caller
 // has closed the connection.
 func logWriteError(logger *slog.Logger, id string, err error) {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sycamorelift/sycamorelift/pkg/forward"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 	"github.com/sycamorelift/sycamorelift/pkg/socket"
 	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
@@ -67,9 +68,11 @@
 	return routing.NewTable(version, routes, nil, routing.Limits{MaxBodyBytes: 10})
 }
 
+func ample() int64 { return 1 << 30 }
+
 func newTestGateway(tables Tables, f Forwarder) *Gateway {
 	recorder := NewRecorder(slog.New(slog.DiscardHandler), telemetry.NewRegistry("test"), func() time.Duration { return 0 })
-	return New(stubCodec{}, tables, f, recorder)
+	return New(stubCodec{}, tables, f, recorder, shedding.NewBytes(ample), NewAnswerWriter(ample, slog.New(slog.DiscardHandler)))
 }
 
 func get(g *Gateway, path string) *httptest.ResponseRecorder {
--- a/pkg/gateway/write.go
+++ b/pkg/gateway/write.go
@@ -43,7 +43,7 @@
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	w.WriteHeader(status)
-	_, err := w.Write(body)
+	err := g.answers.Write(w, id, body)
 	logWriteError(g.recorder.logger, id, err)
 	return status
 }
--- a/pkg/peering/client.go
+++ b/pkg/peering/client.go
@@ -27,8 +27,8 @@
 	// concurrent requests use one connection each.
 	maxIdleConnsPerPeer = 8
 	// maxMessageBytes bounds the body of a call to another instance, and one frame of a
-	// reply to a call for parts. It does not bound the reply to a watch, which can hold
-	// all items of the store.
+	// reply to a call for parts. The reply to a watch, which can hold all items of the
+	// store, has only the bound of all replies, maxReplyBytes.
 	maxMessageBytes = 16 << 20
 	// partsPath is the path of the call for parts of an answer.
 	partsPath = "/parts"
@@ -50,12 +50,12 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: &boundedTransport{bytes: maxReplyBytes, next: &http.Transport{
 			DialContext:         dialer.DialContext,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 			DisableCompression:  true,
-		}},
+		}}},
 		peers: make(map[string]peeringpb.Peering),
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/settings"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
@@ -176,7 +177,11 @@
 	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.reporter, r.seeds)
 	peerHandler := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
-	front := gateway.New(r.options.Codec, r.follower, engine, recorder)
+	requests := shedding.NewBytes(func() int64 { return r.settings.Load().RequestBytes() })
+	answers := gateway.NewAnswerWriter(func() int64 { return r.settings.Load().AnswerBytes() }, r.logger)
+	r.registry.Func("request_bytes", func() any { return requests.Held() })
+	r.registry.Func("answer_bytes", func() any { return answers.Held() })
+	front := gateway.New(r.options.Codec, r.follower, engine, recorder, requests, answers)
 	r.lifecycle = lifecycle.New(r.lifecycleConfig(front.RefuseShutdown))
 	r.idleCloser = gateway.NewIdleCloser(r.idleTimeout)
 	return errors.Join(
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -19,7 +19,10 @@
 	Store    string   // address of the platform's store, IP:port
 	Memory   int64    // bytes that the process may use
 	Cores    float64  // processor time that the process has
-	Bounds   RelayBounds
+	// MaxRequestBytes bounds the bytes of requests in progress; 0 stands for the default, see
+	// RequestBytes.
+	MaxRequestBytes int64
+	Bounds          RelayBounds
 }
 
 // RelayListen holds the addresses to listen on, each as IP:port.
@@ -45,9 +48,32 @@
 	ratioRange     = yamldoc.Range[float64]{Min: 0, Max: 10}
 	allowanceRange = yamldoc.Range[float64]{Min: 0, Max: 1e6}
 	coresRange     = yamldoc.Range[float64]{Min: 0.01, Max: 1024}
-	memoryRange    = yamldoc.Range[int]{Min: 32, Max: 1 << 20}
+	// requestBytesRange begins at 2 MiB, so that the part of the bound for less urgent requests
+	// holds at least one body of the size that a table without a limit allows.
+	requestBytesRange = yamldoc.Range[int]{Min: 2, Max: 1 << 20}
+	memoryRange       = yamldoc.Range[int]{Min: 32, Max: 1 << 20}
 )
 
+const (
+	// requestMemoryShare is the share of the instance's memory that requests in progress may
+	// hold. Their bodies are copied once into each message to another instance, and replies,
+	// connections and the list of servers need the rest.
+	requestMemoryShare = 0.25
+	// answerMemoryShare is the share for answers that callers read slowly.
+	answerMemoryShare = 0.125
+)
+
+// RequestBytes returns the bound on the bytes of requests in progress.
+func (s *Relay) RequestBytes() int64 {
+	if s.MaxRequestBytes > 0 {
+		return s.MaxRequestBytes
+	}
+	return int64(requestMemoryShare * float64(s.Memory))
+}
+
+// AnswerBytes returns the bound on the bytes of answers that are being written.
+func (s *Relay) AnswerBytes() int64 { return int64(answerMemoryShare * float64(s.Memory)) }
+
 // LoadRelay reads and checks a settings file. The error is a finding.List with
 // everything that is wrong, unless the file can't be read.
 func LoadRelay(file string) (*Relay, error) {
@@ -78,6 +104,9 @@
 	var megabytes int
 	o.Required("memory_mb").Int(&megabytes, memoryRange)
 	s.Memory = int64(megabytes) * mib
+	var maxRequestMebibytes int
+	o.Optional("max_request_bytes_mib").Int(&maxRequestMebibytes, requestBytesRange)
+	s.MaxRequestBytes = int64(maxRequestMebibytes) * mib
 	s.Cores = 1
 	o.Optional("cores").Float(&s.Cores, coresRange)
 	s.Bounds.read(o.Required("bounds"))
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -32,6 +32,18 @@
 	})
 }
 
+// Guards against a bound on bytes that is not taken over, and against none without the setting.
+func TestRelayBoundsOnBytes(t *testing.T) {
+	got, err := ParseRelay("relay.yaml", []byte(relayYAML))
+	assert.NilError(t, err)
+	assert.Equal(t, got.RequestBytes(), int64(71<<20))
+	got, err = ParseRelay("relay.yaml", []byte(relayYAML+"max_request_bytes_mib: 24\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.RequestBytes(), int64(24<<20))
+	_, err = ParseRelay("relay.yaml", []byte(relayYAML+"max_request_bytes_mib: 1\n"))
+	assert.ErrorContains(t, err, "max_request_bytes_mib")
+}
+
 // Guards against reporting one finding at a time, or none.
 func TestRelaySettingsReportEveryFinding(t *testing.T) {
 	broken := strings.NewReplacer("cores: 0.4", "cores: -1", "grace: 6s", "grace: 6", "10.200.1.7:8102", "store", "zone: a", "zone: 7").Replace(relayYAML)
