--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -51,6 +51,9 @@
 	Relays           Relays
 	Sharing          Sharing
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
+	// OnOverload is called when this instance begins, and when it ceases, to refuse requests
+	// because the servers cannot do the work. It must not block.
+	OnOverload func(active bool)
 	// OnSuspect tells the other instances about a request that has ended under suspicion
 	// of crashing servers. It must not block.
 	OnSuspect func(suspects.Suspect)
@@ -64,7 +67,7 @@
 		suspects:         config.Suspects,
 		budget:           config.Budget,
 		weights:          routing.NewWeightedRoundRobin(),
-		shedding:         shedding.NewPolicy(),
+		shedding:         shedding.NewPolicy(config.OnOverload),
 		lateness:         newLateShares(),
 		client:           config.Client,
 		zone:             config.Zone,
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -68,6 +68,7 @@
 		Relays:           relays,
 		Sharing:          tb,
 		OnLatenessChange: tb.observe,
+		OnOverload:       func(bool) {},
 		OnSuspect: func(s suspects.Suspect) {
 			tb.reports.Add(1)
 			for _, other := range tb.suspects {
--- a/pkg/gateway/answerwriter.go
+++ b/pkg/gateway/answerwriter.go
@@ -38,8 +38,7 @@
 	cut        bool
 }
 
-// NewAnswerWriter returns a writer. Limit returns the most bytes held for answers, which may
-// change.
+// NewAnswerWriter returns a writer. Limit returns the most bytes held for answers.
 func NewAnswerWriter(limit func() int64, logger *slog.Logger) *AnswerWriter {
 	return &AnswerWriter{limit: limit, logger: logger, now: time.Now, writing: make(map[*writing]struct{})}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -167,6 +167,7 @@
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
+		OnOverload:       r.logOverload,
 		OnSuspect:        r.reporter.Report,
 	})
 	r.registry.Func("services_short", func() any {
@@ -177,8 +178,8 @@
 	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.reporter, r.seeds)
 	peerHandler := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
-	requests := shedding.NewBytes(func() int64 { return r.settings.Load().RequestBytes() })
-	answers := gateway.NewAnswerWriter(func() int64 { return r.settings.Load().AnswerBytes() }, r.logger)
+	requests := shedding.NewBytes(s.RequestBytes)
+	answers := gateway.NewAnswerWriter(s.AnswerBytes, r.logger)
 	r.registry.Func("request_bytes", func() any { return requests.Held() })
 	r.registry.Func("answer_bytes", func() any { return answers.Held() })
 	front := gateway.New(r.options.Codec, r.follower, engine, recorder, requests, answers)
@@ -226,6 +227,16 @@
 	r.logger.Info(message, "route", c.Route, "late_share", c.Share, "missable_share", c.MaxMissingShare)
 }
 
+// logOverload logs when requests are refused because the servers cannot do the work, and when that
+// is over.
+func (r *Instance) logOverload(active bool) {
+	if active {
+		r.logger.Warn("overload of backend servers, refusing requests beyond what is in time")
+		return
+	}
+	r.logger.Info("requests no longer refused for overload")
+}
+
 func (r *Instance) idleTimeout() time.Duration {
 	if table := r.follower.Table(); table != nil {
 		return table.Limits().IdleTimeout
--- a/pkg/shedding/admission.go
+++ b/pkg/shedding/admission.go
@@ -36,6 +36,8 @@
 // lack capacity. Work is admitted in proportion to what was done in time, the most urgent first.
 // It is safe for concurrent use.
 type Admission struct {
+	onChange func(active bool) // called with the lock held
+
 	mu          sync.Mutex
 	late        trend
 	active      bool
@@ -50,8 +52,11 @@
 	passed      map[int]int // by priority: more urgent requests admitted since one was refused
 }
 
-// NewAdmission returns an admission that admits everything.
-func NewAdmission() *Admission { return &Admission{passed: make(map[int]int)} }
+// NewAdmission returns an admission that admits everything. It calls onChange when it begins and
+// when it ceases to bound the work; onChange must not block.
+func NewAdmission(onChange func(active bool)) *Admission {
+	return &Admission{onChange: onChange, passed: make(map[int]int)}
+}
 
 // Done records whether a request was answered in time, or was late because servers lacked
 // capacity. Work is what it needed of the servers, in seconds.
@@ -67,10 +72,12 @@
 	}
 	switch {
 	case !a.active && a.late.level >= Short && !now.Before(a.futileUntil):
-		a.active, a.lastRefused, a.tokens = true, now, 0
+		a.lastRefused, a.tokens = now, 0
+		a.setActiveLocked(true)
 		a.lastInTime, a.lateInARow = now, 0
 	case a.active && a.lateInARow >= futileLate && now.Sub(a.lastInTime) > futileAfter:
-		a.active, a.futileUntil = false, now.Add(futileHold)
+		a.futileUntil = now.Add(futileHold)
+		a.setActiveLocked(false)
 	}
 }
 
@@ -103,6 +110,13 @@
 	return true
 }
 
+func (a *Admission) setActiveLocked(active bool) {
+	a.active = active
+	clear(a.passed)
+	a.onChange(active)
+}
+
+// rateLocked returns the work that may begin, per second.
 func (a *Admission) rateLocked() float64 {
 	growth := growthInTime
 	if a.late.level != Ample {
@@ -117,8 +131,7 @@
 	passed := max(now.Sub(a.updated), 0)
 	a.updated = now
 	if a.active && (now.Sub(a.lastRefused) > admissionHold && a.late.current(now) == Ample) {
-		a.active = false
-		clear(a.passed)
+		a.setActiveLocked(false)
 	}
 	a.tokens = min(a.tokens+a.rateLocked()*passed.Seconds(), a.burstLocked())
 	decay := math.Exp(-passed.Seconds() / admissionMemory.Seconds())
--- a/pkg/shedding/admission_test.go
+++ b/pkg/shedding/admission_test.go
@@ -56,7 +56,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		classes := rapid.IntRange(1, 3).Draw(t, "classes")
 		offered := rapid.Float64Range(1.2, 4).Draw(t, "offered") / float64(classes)
-		admitted, each, served := overload(NewAdmission(), classes, offered, 20*time.Second)
+		admitted, each, served := overload(NewAdmission(func(bool) {}), classes, offered, 20*time.Second)
 		total := 0
 		for priority, n := range admitted {
 			total += n
@@ -70,7 +70,8 @@
 
 // Guards against requests that are refused without a shortage, or for long after it.
 func TestAdmissionEndsWithTheOverload(t *testing.T) {
-	a := NewAdmission()
+	var changes []bool
+	a := NewAdmission(func(active bool) { changes = append(changes, active) })
 	now := time.Unix(100, 0)
 	for range 100 {
 		now = now.Add(20 * time.Millisecond)
@@ -93,12 +94,12 @@
 		a.Done(1, true, now)
 	}
 	assert.Assert(t, refused > 0)
-	assert.Assert(t, !a.active)
+	assert.DeepEqual(t, changes, []bool{true, false})
 }
 
 // Guards against refusals that help nobody, because servers are slow with little work too.
 func TestRefusalsEndWhenTheyDoNotHelp(t *testing.T) {
-	a, now := NewAdmission(), time.Unix(100, 0)
+	a, now := NewAdmission(func(bool) {}), time.Unix(100, 0)
 	admitted := 0
 	for range 500 {
 		now = now.Add(10 * time.Millisecond)
@@ -112,7 +113,7 @@
 
 // Guards against callers that were refused and are refused again in favour of new requests.
 func TestReturnedRequestsAreAdmittedFirst(t *testing.T) {
-	a, now := NewAdmission(), time.Unix(100, 0)
+	a, now := NewAdmission(func(bool) {}), time.Unix(100, 0)
 	for range 40 {
 		now = now.Add(20 * time.Millisecond)
 		a.Done(1, true, now)
--- a/pkg/shedding/bytes.go
+++ b/pkg/shedding/bytes.go
@@ -14,7 +14,7 @@
 	held int64
 }
 
-// NewBytes returns a bound without requests. Limit returns the bound, which may change.
+// NewBytes returns a bound without requests. Limit returns the bound.
 func NewBytes(limit func() int64) *Bytes { return &Bytes{limit: limit} }
 
 // Held returns the bytes that are held now.
--- a/pkg/shedding/policy.go
+++ b/pkg/shedding/policy.go
@@ -12,9 +12,10 @@
 	Admission *Admission
 }
 
-// NewPolicy returns a policy without observations.
-func NewPolicy() *Policy {
-	return &Policy{Classes: NewClasses(), Shortage: NewShortage(), Queue: NewQueue(), Refused: NewRefused(), Admission: NewAdmission()}
+// NewPolicy returns a policy without observations. It calls onOverload when it begins and when it
+// ceases to refuse requests of callers; onOverload must not block.
+func NewPolicy(onOverload func(active bool)) *Policy {
+	return &Policy{Classes: NewClasses(), Shortage: NewShortage(), Queue: NewQueue(), Refused: NewRefused(), Admission: NewAdmission(onOverload)}
 }
 
 // MayHedge reports whether a request of a priority may send a hedge to a service. While the
--- a/pkg/shedding/policy_test.go
+++ b/pkg/shedding/policy_test.go
@@ -34,7 +34,7 @@
 // Guards against hedges that are lost without need, and against hedges of the less urgent that
 // take the capacity of a service that is short.
 func TestHedgesOfTheLeastUrgentStopFirst(t *testing.T) {
-	p, now := NewPolicy(), time.Unix(100, 0)
+	p, now := NewPolicy(func(bool) {}), time.Unix(100, 0)
 	for priority := range 3 {
 		p.Classes.Record(priority, now)
 	}
@@ -64,7 +64,7 @@
 
 // Guards against hedges that use processor time which this instance lacks.
 func TestLateTimersStopHedgesOfTheLeastUrgent(t *testing.T) {
-	p, now := NewPolicy(), time.Unix(100, 0)
+	p, now := NewPolicy(func(bool) {}), time.Unix(100, 0)
 	p.Classes.Record(0, now)
 	p.Classes.Record(1, now)
 	for range 5 {
