--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -52,7 +52,7 @@
 	return &crashSuspicion{
 		engine:      e,
 		sharded:     sharded,
-		fingerprint: crashguard.Fingerprint(request.Host, request.Method, request.Target, string(request.Body)),
+		fingerprint: crashguard.FingerprintWithBody(request.Body, request.Host, request.Method, request.Target),
 	}
 }
 
