feed: clock that a test can drive, age of a read of several pages

Cause: a view that was read in several pages stated the age of its last page, at most 500 ms, although it is as of its first page. Change: a read confirms the view as of its request. The follow loop takes its time and random pauses from a clock.

--- a/pkg/feed/confirmation.go
+++ b/pkg/feed/confirmation.go
@@ -24,9 +24,9 @@
 	}
 }
 
-func (c *confirmation) age() time.Duration {
+func (c *confirmation) age(now time.Time) time.Duration {
 	if at := c.at.Load(); at != nil {
-		return time.Since(*at)
+		return now.Sub(*at)
 	}
 	return unconfirmedAge
 }
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +44,7 @@
 	decoder   Decoder
 	directory *directory.Directory
 	logger    *slog.Logger
+	clock     clock
 	cache     *watchCache
 
 	table     atomic.Pointer[tableInForce]
@@ -65,6 +65,7 @@
 		decoder:   decoder,
 		directory: d,
 		logger:    logger,
+		clock:     systemClock(),
 		cache:     newWatchCache(),
 		ready:     make(chan struct{}),
 		storeLost: make(chan struct{}),
@@ -74,6 +75,7 @@
 		sources: sources,
 		logger:  logger,
 		calls:   &f.calls,
+		now:     func() time.Time { return f.clock.now() },
 		current: f.Table,
 		adopt:   func(item Item, origin string) { f.adoptTable(item, f.decoder.Decode(item).Table, origin) },
 		viewAge: f.Age,
@@ -103,7 +105,7 @@
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
 // Age returns the time since the store last confirmed the view.
-func (f *Follower) Age() time.Duration { return f.confirmed.age() }
+func (f *Follower) Age() time.Duration { return f.confirmed.age(f.clock.now()) }
 
 // Confirm returns the newest known table and whether the store has confirmed it within
 // maxConfirmedAge. If it has not, Confirm asks the zone's reader or the store.
@@ -252,10 +254,10 @@
 	}
 }
 
-func backoff(failures int) time.Duration {
+func (c clock) backoff(failures int) time.Duration {
 	delay := min(initialBackoff<<min(failures-1, 6), maxBackoff)
 	// Half of the delay is random, so that the instances do not call at the same time.
-	return delay/2 + rand.N(delay/2)
+	return delay/2 + c.random(delay/2)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 )
 
@@ -51,11 +50,11 @@
 
 // step reads or watches once and returns the pause before the next step.
 func (l *followLoop) step(ctx context.Context) time.Duration {
-	source, ok := l.chooseSource(time.Now())
+	source, ok := l.chooseSource(l.follower.clock.now())
 	if !ok {
-		return time.Until(l.storeRetryAt)
+		return l.storeRetryAt.Sub(l.follower.clock.now())
 	}
-	requestedAt := time.Now()
+	requestedAt := l.follower.clock.now()
 	batch, err := l.fetch(ctx, source)
 	if ctx.Err() != nil {
 		return 0
@@ -144,10 +143,11 @@
 
 // confirmationTime returns the time up to which a batch confirms the view. The reply to
 // a watch is created when a change happens or the wait ends, and arrives within
-// maxReplyDelay. The reply to a read may be as old as its request.
+// maxReplyDelay. The reply to a read may be as old as its request: it has the revision of its
+// first page, and further pages may take seconds.
 func (l *followLoop) confirmationTime(batch Batch, requestedAt time.Time, source chosenSource) time.Time {
 	at := requestedAt
-	if earliestReply := time.Now().Add(-maxReplyDelay); earliestReply.After(requestedAt) {
+	if earliestReply := l.follower.clock.now().Add(-maxReplyDelay); l.synced && earliestReply.After(requestedAt) {
 		at = earliestReply
 	}
 	if !source.isStore {
@@ -171,10 +171,10 @@
 	if l.consecutiveFailures == 1 {
 		f.logger.Warn("source lost", "origin", source.id, "error", err, "view_age_ms", f.Age().Milliseconds())
 	}
-	now := time.Now()
+	now := l.follower.clock.now()
 	if source.isStore {
 		l.storeFailures++
-		l.awaitTurn(now, backoff(l.storeFailures))
+		l.awaitTurn(now, f.clock.backoff(l.storeFailures))
 		f.setStoreLost(true)
 		return peerPause
 	}
@@ -191,7 +191,7 @@
 	if !l.awaitsTurn {
 		l.awaitTurn(now, 0)
 	}
-	return standbyFailurePause/2 + rand.N(standbyFailurePause)
+	return standbyFailurePause/2 + l.follower.clock.random(standbyFailurePause)
 }
 
 // awaitTurn sets the next call to the store, after a pause of at least the given length.
@@ -208,7 +208,7 @@
 		return 0
 	}
 	mean := time.Duration(l.follower.sources.StoreCallers()) * storeCallSpacing
-	return mean/2 + rand.N(mean)
+	return mean/2 + l.follower.clock.random(mean)
 }
 
 func (l *followLoop) handleSuccess(source chosenSource) {
--- a/pkg/feed/tableconfirmer.go
+++ b/pkg/feed/tableconfirmer.go
@@ -34,6 +34,7 @@
 	sources Sources
 	logger  *slog.Logger
 	calls   *StoreCalls
+	now     func() time.Time
 	// current returns the table in force, nil before the first one.
 	current func() *routing.Table
 	// adopt puts a table in force unless it is older.
@@ -49,7 +50,7 @@
 }
 
 // age returns the time since the store has confirmed the table.
-func (c *tableConfirmer) age() time.Duration { return min(c.confirmed.age(), c.viewAge()) }
+func (c *tableConfirmer) age() time.Duration { return min(c.confirmed.age(c.now()), c.viewAge()) }
 
 // byAnyone confirms the table by the zone's reader, a standby reader in its place, or at last
 // the store.
@@ -83,11 +84,11 @@
 	if reader == nil {
 		return false
 	}
-	if time.Now().After(c.skipReaderUntil) {
+	if c.now().After(c.skipReaderUntil) {
 		if c.askPeer(ctx, reader) == nil {
 			return true
 		}
-		c.skipReaderUntil = time.Now().Add(readerBackoff)
+		c.skipReaderUntil = c.now().Add(readerBackoff)
 	}
 	standby := c.sources.Standby(0)
 	return standby != nil && c.askPeer(ctx, standby) == nil
@@ -96,14 +97,14 @@
 func (c *tableConfirmer) askPeer(ctx context.Context, peer PeerSource) error {
 	ctx, cancel := context.WithTimeout(ctx, peerConfirmTimeout)
 	defer cancel()
-	requestedAt := time.Now()
+	requestedAt := c.now()
 	known := c.current().Version()
 	reply, err := peer.ConfirmTable(ctx, known)
 	switch {
 	case err != nil:
 	case reply.Version < known:
 		err = &StaleTableError{Peer: peer.ID(), Version: reply.Version, Known: known}
-	case time.Since(requestedAt)+reply.Age >= maxConfirmedAge:
+	case c.now().Sub(requestedAt)+reply.Age >= maxConfirmedAge:
 		err = &StaleViewError{Peer: peer.ID(), Age: reply.Age}
 	}
 	if err != nil {
@@ -120,7 +121,7 @@
 func (c *tableConfirmer) askStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeConfirmTimeout)
 	defer cancel()
-	requestedAt := time.Now()
+	requestedAt := c.now()
 	c.calls.confirmations.Add(1)
 	batch, err := c.store.ReadTable(ctx)
 	if err != nil {
--- a/pkg/feed/tableconfirmer_test.go
+++ b/pkg/feed/tableconfirmer_test.go
@@ -124,7 +124,7 @@
 			return TableReply{}, ctx.Err()
 		}
 		confirmer := &tableConfirmer{
-			store: store, sources: failingConfirmer{confirm: confirm}, logger: slog.New(slog.DiscardHandler), calls: &StoreCalls{},
+			store: store, sources: failingConfirmer{confirm: confirm}, logger: slog.New(slog.DiscardHandler), calls: &StoreCalls{}, now: time.Now,
 			current: func() *routing.Table { return routing.NewTable(1, nil, nil, routing.Limits{}) }, adopt: func(Item, string) {}, viewAge: func() time.Duration { return unconfirmedAge },
 		}
 		for end := time.Now().Add(2 * readerBackoff); time.Now().Before(end); time.Sleep(unknownPathInterval) {
