--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -120,6 +120,15 @@
 	return Change{ID: id, Service: old.Service, Kind: Removed}
 }
 
+// Forget deletes a server that left the list, so that it is not used as a last resort either.
+func (d *Directory) Forget(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if server := d.byID[id]; server != nil && server.Leaving() {
+		d.replaceLocked(server, nil)
+	}
+}
+
 // Replace applies a complete list: it puts its entries and removes all other servers. The
 // changes are sorted by server ID.
 func (d *Directory) Replace(entries []Entry) []Change {
--- a/pkg/feed/fakes_test.go
+++ b/pkg/feed/fakes_test.go
@@ -36,7 +36,7 @@
 
 func newFakeStore() *fakeStore {
 	s := &fakeStore{cache: newWatchCache()}
-	s.cache.replace(Batch{})
+	s.cache.replace(Batch{}, time.Time{})
 	return s
 }
 
@@ -45,7 +45,7 @@
 	s.lastRevision++
 	item := Item{Key: key, Value: []byte(value), Revision: s.lastRevision, Removed: value == ""}
 	s.mu.Unlock()
-	s.cache.add([]Item{item}, item.Revision)
+	s.cache.add([]Item{item}, item.Revision, time.Time{})
 }
 
 func (s *fakeStore) writeTable(version int64) {
@@ -72,7 +72,7 @@
 func (s *fakeStore) dropHistory() {
 	s.cache.mu.Lock()
 	defer s.cache.mu.Unlock()
-	s.cache.changesFrom = s.cache.revision
+	s.cache.changesFrom = s.cache.position.Revision
 	s.cache.changes = nil
 }
 
@@ -102,7 +102,7 @@
 	if err := s.call(); err != nil {
 		return Batch{}, err
 	}
-	b, _ := s.cache.all()
+	b, _, _ := s.cache.all()
 	return b, nil
 }
 
@@ -111,11 +111,12 @@
 	return b, err
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (s *fakeStore) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	if err := s.call(); err != nil {
 		return Batch{}, err
 	}
-	return s.cache.waitForChanges(ctx, after, wait, nil)
+	b, _, err := s.cache.waitForChanges(ctx, after, wait, nil)
+	return b, err
 }
 
 // fakeDecoder decodes the format of fakeStore.
@@ -215,7 +216,7 @@
 	return b, nil
 }
 
-func (p followedPeer) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (p followedPeer) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	return p.followed.ChangesAfter(ctx, after, wait)
 }
 
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -49,8 +50,14 @@
 
 	table     atomic.Pointer[tableInForce]
 	confirmed confirmation // of the whole view
-	confirmer *tableConfirmer
-	calls     StoreCalls
+	restored  restoration
+	// storeTable is the version of the store's table, which is older than the one in force
+	// after a restore until the operator has published again.
+	storeTable atomic.Int64
+	era        atomic.Int64 // of the view; 0 is unknown
+	fullReads  FullReads
+	confirmer  *tableConfirmer
+	calls      StoreCalls
 
 	mu        sync.Mutex // serializes changes of table, ready and storeLost
 	ready     chan struct{}
@@ -70,6 +77,7 @@
 		ready:     make(chan struct{}),
 		storeLost: make(chan struct{}),
 	}
+	f.restored.decoder = decoder
 	f.confirmer = &tableConfirmer{
 		store:   store,
 		sources: sources,
@@ -77,8 +85,14 @@
 		calls:   &f.calls,
 		now:     func() time.Time { return f.clock.now() },
 		current: f.Table,
-		adopt:   func(item Item, origin string) { f.adoptTable(item, f.decoder.Decode(item).Table, origin) },
-		viewAge: f.Age,
+		adopt: func(item Item, origin string) *routing.Table {
+			table := f.decoder.Decode(item).Table
+			f.adoptTable(item, table, origin)
+			return table
+		},
+		viewAge:     f.Age,
+		era:         f.era.Load,
+		unconfirmed: f.tableUnconfirmed,
 	}
 	return f
 }
@@ -100,6 +114,9 @@
 // StoreCalls returns the numbers of calls to the store.
 func (f *Follower) StoreCalls() *StoreCalls { return &f.calls }
 
+// FullReads returns the numbers of complete reads.
+func (f *Follower) FullReads() *FullReads { return &f.fullReads }
+
 // Ready returns a channel that is closed once the table and the list of backend servers
 // have been read.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
@@ -132,7 +149,7 @@
 		_ = f.confirmer.byStore(ctx) // the reply's age shows a failure
 	}
 	// The age comes first: a table that arrives after it is at least as new.
-	reply := TableReply{Age: f.confirmer.age()}
+	reply := TableReply{Age: f.confirmer.age(), Era: f.era.Load()}
 	current := f.table.Load()
 	reply.Version = current.Version()
 	if reply.Version > version {
@@ -200,12 +217,12 @@
 		}
 	}
 	for _, change := range f.directory.Replace(entries) {
-		f.logChange(change, b.Revision)
+		f.logChange(change, b.Position.Revision)
 	}
 	// The table comes last: requests that wait for it need the backend servers as well.
 	f.adoptTable(tableItem, table, origin)
 	staying, leaving := f.directory.Count()
-	f.logger.Info("store read", "origin", origin, "revision", b.Revision, "backend_servers", staying, "leaving", leaving)
+	f.logger.Info("store read", "origin", origin, "era", b.Position.Era, "revision", b.Position.Revision, "backend_servers", staying, "leaving", leaving)
 }
 
 // applyChanges puts changed items in force.
@@ -272,26 +289,96 @@
 // AllItems returns all items that this instance knows, to be sent to another instance.
 // It returns false before the first complete read.
 func (f *Follower) AllItems() (Batch, bool) {
-	b, ok := f.cache.all()
-	b.Age = f.Age()
+	b, confirmed, ok := f.cache.all()
+	now := f.clock.now()
+	b.Age = viewAge(now, confirmed)
+	b.Restored = f.restored.state(now)
+	if b.Restored != nil && f.storeTableIsOlder() {
+		b.Restored.Table = &f.table.Load().item
+	}
 	return b, ok
 }
 
-// ChangesAfter returns the changes after a revision, to be sent to another instance.
+// ChangesAfter returns the changes after a position, to be sent to another instance.
 // While this instance has lost the store, ChangesAfter returns at once with a stale age,
 // so that the followers of this instance change to another source.
-func (f *Follower) ChangesAfter(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (f *Follower) ChangesAfter(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	f.mu.Lock()
 	storeLost := f.storeLost
 	f.mu.Unlock()
-	b, err := f.cache.waitForChanges(ctx, after, wait, storeLost)
-	b.Age = f.Age()
+	b, confirmed, err := f.cache.waitForChanges(ctx, after, wait, storeLost)
+	b.Age = f.ageForPeers(confirmed, storeLost)
+	return b, err
+}
+
+// ageForPeers returns the age of a view that is sent to another instance: a stale one while
+// this instance has lost the store.
+func (f *Follower) ageForPeers(confirmed time.Time, storeLost <-chan struct{}) time.Duration {
+	age := viewAge(f.clock.now(), confirmed)
 	select {
 	case <-storeLost:
-		b.Age = max(b.Age, maxPeerViewAge+time.Millisecond)
+		return max(age, maxPeerViewAge+time.Millisecond)
 	default:
+		return age
 	}
-	return b, err
+}
+
+// viewAge returns the age of a view that was confirmed as of a time, which is zero before the
+// first confirmation.
+func viewAge(now, confirmed time.Time) time.Duration {
+	if confirmed.IsZero() {
+		return unconfirmedAge
+	}
+	return now.Sub(confirmed)
+}
+
+// tableUnconfirmed reports whether no confirmation holds for the table in force: the store was
+// restored and its writers have not had the time to write again, or its table is older.
+func (f *Follower) tableUnconfirmed() bool {
+	_, settling := f.restored.settlesAt()
+	return settling || f.restored.seen() && f.storeTableIsOlder()
+}
+
+func (f *Follower) storeTableIsOlder() bool {
+	table := f.Table()
+	return table != nil && f.storeTable.Load() < table.Version()
+}
+
+// observeStoreTable records the version of the store's table. Complete tells whether the items
+// are all items of the store.
+func (f *Follower) observeStoreTable(items []Item, complete bool) {
+	current := f.table.Load()
+	if current == nil {
+		return
+	}
+	if complete {
+		f.storeTable.Store(0)
+	}
+	for _, item := range items {
+		if item.Key != current.item.Key {
+			continue
+		}
+		if bytes.Equal(item.Value, current.item.Value) {
+			f.storeTable.Store(current.Version())
+		} else if table := f.decoder.Decode(item).Table; table != nil {
+			f.storeTable.Store(table.Version())
+		}
+	}
+}
+
+// settle ends the time for which items are held after a restore.
+func (f *Follower) settle(now time.Time) {
+	changes := f.restored.settle(now, f.cache.item)
+	if len(changes) == 0 {
+		return
+	}
+	f.applyChanges(changes, "restore")
+	for _, item := range changes {
+		if id := f.decoder.Decode(item).ServerID; item.Removed && id != "" {
+			f.directory.Forget(id)
+		}
+	}
+	f.logger.Info("items held after a restore of the store released", "items", len(changes), "era", f.era.Load())
 }
 
 // setStoreLost records whether the store does not answer this instance.
--- a/pkg/feed/follower_test.go
+++ b/pkg/feed/follower_test.go
@@ -399,7 +399,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		store := newFakeStore()
 		seen := map[string]string{}
-		var at int64
+		var at Position
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			for range rapid.IntRange(0, 4).Draw(t, "writes") {
 				key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(t, "key")
@@ -408,10 +408,10 @@
 			if rapid.IntRange(0, 9).Draw(t, "forget") == 0 {
 				store.dropHistory()
 			}
-			b, _, err := store.cache.changesAfter(at)
+			b, _, _, err := store.cache.changesAfter(at)
 			if err != nil {
 				assert.ErrorIs(t, err, ErrHistoryGone)
-				all, _ := store.cache.all()
+				all, _, _ := store.cache.all()
 				b, seen = all, map[string]string{}
 			}
 			for _, item := range b.Items {
@@ -421,9 +421,9 @@
 					seen[item.Key] = string(item.Value)
 				}
 			}
-			at = b.Revision
+			at = b.Position
 			want := map[string]string{}
-			all, _ := store.cache.all()
+			all, _, _ := store.cache.all()
 			for _, item := range all.Items {
 				want[item.Key] = string(item.Value)
 			}
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -28,9 +29,15 @@
 // one goroutine uses it.
 type followLoop struct {
 	follower            *Follower
-	revision            int64
+	position            Position
 	lastSource          string // id of the source that answered last
-	synced              bool
+	hasView             bool   // everything has been read at least once
+	synced              bool   // the next call watches; otherwise it reads everything
+	readCause           readCause
+	readFrom            *chosenSource // source of the next complete read; nil is any
+	pacing              readPacing
+	loggedEras          map[int64]bool // eras of the store that have ended and were logged
+	missingEraLogged    bool
 	consecutiveFailures int       // calls failed in a row, to any source
 	storeFailures       int       // calls to the store failed in a row
 	skipReaderUntil     time.Time // the zone's reader is not followed before
@@ -48,22 +55,46 @@
 	wait    time.Duration // how long a watch without changes is held
 }
 
-// step reads or watches once and returns the pause before the next step.
+// step reads or watches once and returns the pause before the next step. It also ends the time
+// for which items are held after a restore, so that its calls and the pause end by then.
 func (l *followLoop) step(ctx context.Context) time.Duration {
-	source, ok := l.chooseSource(l.follower.clock.now())
+	f := l.follower
+	f.settle(f.clock.now())
+	pause := l.call(ctx)
+	if at, ok := f.restored.settlesAt(); ok {
+		pause = max(min(pause, at.Sub(f.clock.now())), 0)
+	}
+	return pause
+}
+
+func (l *followLoop) call(ctx context.Context) time.Duration {
+	now := l.follower.clock.now()
+	if !l.synced && l.hasView {
+		if next := l.pacing.nextAt(now); now.Before(next) {
+			return next.Sub(now)
+		}
+	}
+	source, ok := l.chooseSource(now)
 	if !ok {
 		return l.storeRetryAt.Sub(l.follower.clock.now())
 	}
+	if at, ok := l.follower.restored.settlesAt(); ok {
+		source.wait = max(min(source.wait, at.Sub(now)), 0)
+	}
 	requestedAt := l.follower.clock.now()
 	batch, err := l.fetch(ctx, source)
 	if ctx.Err() != nil {
 		return 0
 	}
+	if err == nil {
+		batch.Position = l.inKnownEra(batch.Position, source)
+		err = l.refusal(batch, source)
+	}
 	if err != nil {
 		return l.handleFailure(err, source)
 	}
 	isStale := !source.isStore && batch.Age > maxPeerViewAge
-	if !isStale || l.synced || l.storeFailures > 0 {
+	if !isStale || l.hasView || l.storeFailures > 0 {
 		// A stale view can still hold changes that this instance lacks. An instance that has
 		// no view yet takes a stale one only if it cannot reach the store either: such a view
 		// may be far behind the one that its previous run had.
@@ -86,6 +117,11 @@
 // before storeRetryAt.
 func (l *followLoop) chooseSource(now time.Time) (chosenSource, bool) {
 	f := l.follower
+	if l.readFrom != nil {
+		source := *l.readFrom
+		l.readFrom = nil
+		return source, true
+	}
 	if now.After(l.skipReaderUntil) {
 		l.failedStandbys = 0
 		if reader := f.sources.Reader(); reader != nil {
@@ -112,33 +148,85 @@
 		l.follower.calls.countFetch(l.synced)
 	}
 	if !l.synced {
+		l.pacing.record(l.follower.clock.now())
+		l.follower.fullReads.count(l.readCause)
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		return source.Read(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, source.wait+watchGrace)
 	defer cancel()
-	return source.Watch(ctx, l.revision, source.wait)
+	return source.Watch(ctx, l.position, source.wait)
 }
 
-// apply puts a batch in force and records its age before it adds the batch to the cache,
-// since the instances that follow this one receive the batch together with the recorded
-// age.
+// inKnownEra returns a position of a source, in the era known so far if the source states none.
+func (l *followLoop) inKnownEra(at Position, source chosenSource) Position {
+	if at.Era == 0 && l.position.Era != 0 && source.isStore && !l.missingEraLogged {
+		l.missingEraLogged = true
+		l.follower.logger.Warn("store states no valid era, the known one is assumed", "era", l.position.Era, "revision", at.Revision)
+	}
+	return at.orInEra(l.position.Era)
+}
+
+// refusal returns why nothing of a batch may be taken, or nil.
+func (l *followLoop) refusal(batch Batch, source chosenSource) error {
+	switch at := batch.Position; {
+	case !l.hasView:
+		return nil
+	case at.Era < l.position.Era:
+		return &EraPastError{Origin: source.id, Era: at.Era, Known: l.position.Era}
+	case l.synced && at.Era > l.position.Era:
+		return &HistoryGoneError{Era: at.Era}
+	case !l.synced && !source.isStore && at.Compare(l.position) <= 0:
+		// The changes after this instance's position are missing, and so they would be still.
+		return &BehindError{Origin: source.id, At: at, Known: l.position}
+	case !l.synced && at.Compare(l.position) < 0 && at.Era != 0:
+		return &BehindError{Origin: source.id, At: at, Known: l.position}
+	}
+	return nil
+}
+
+// apply puts a batch in force and then adds it to the cache with the time of its confirmation,
+// since the instances that follow this one receive both together.
 func (l *followLoop) apply(batch Batch, confirmed time.Time, source chosenSource) {
 	f := l.follower
 	if l.synced {
-		unseen := f.cache.unseen(batch)
+		changes, unseen := f.cache.news(batch)
+		f.restored.release(unseen)
 		f.applyChanges(unseen, source.id)
+		f.observeStoreTable(unseen, false)
 		f.confirmed.advance(confirmed)
-		f.cache.add(unseen, batch.Revision)
+		f.cache.add(changes, batch.Position.Revision, confirmed)
+		l.position.Revision = max(l.position.Revision, batch.Position.Revision)
 	} else {
-		f.applyAll(batch, source.id)
-		f.confirmed.advance(confirmed)
-		f.cache.replace(batch)
+		l.applyRead(batch, confirmed, source)
 	}
 	f.markReady()
-	l.revision = max(l.revision, batch.Revision)
-	l.synced = true
+	l.hasView, l.synced = true, true
+}
+
+// applyRead puts a complete read in force. Its position replaces the one before, even if that
+// has a higher revision.
+func (l *followLoop) applyRead(batch Batch, confirmed time.Time, source chosenSource) {
+	f := l.follower
+	// Without eras, a restore shows only by the lower revision.
+	restored := l.hasView && (batch.Position.Era > l.position.Era || batch.Position.Compare(l.position) < 0)
+	if restored || !l.hasView && batch.Restored != nil {
+		f.logger.Warn("store was restored", "origin", source.id, "era", batch.Position.Era, "revision", batch.Position.Revision,
+			"era_before", l.position.Era, "revision_before", l.position.Revision)
+		f.restored.begin(f.cache.known(), batch, f.clock.now())
+	}
+	f.era.Store(batch.Position.Era)
+	inForce := batch
+	inForce.Items = f.restored.resolve(batch.Items)
+	f.applyAll(inForce, source.id)
+	if state := batch.Restored; state != nil && state.Table != nil {
+		f.adoptTable(*state.Table, f.decoder.Decode(*state.Table).Table, source.id)
+	}
+	f.observeStoreTable(batch.Items, true)
+	f.confirmed.advance(confirmed)
+	f.cache.replace(batch, confirmed)
+	l.position = batch.Position
 }
 
 // confirmationTime returns the time up to which a batch confirms the view. The reply to
@@ -162,16 +250,20 @@
 // storeRetryAt.
 func (l *followLoop) handleFailure(err error, source chosenSource) time.Duration {
 	f := l.follower
+	now := f.clock.now()
+	if gone := (*HistoryGoneError)(nil); errors.As(err, &gone) && gone.Era != 0 && gone.Era < l.position.Era {
+		err = &EraPastError{Origin: source.id, Era: gone.Era, Known: l.position.Era}
+	}
 	if !isSourceFailure(err) {
-		f.logger.Info("history of changes is gone, reading everything", "origin", source.id, "revision", l.revision)
-		l.synced = false
-		return peerPause
+		return l.handleHistoryGone(err, source)
+	}
+	if past := (*EraPastError)(nil); source.isStore && errors.As(err, &past) {
+		return l.handlePastEra(past)
 	}
 	l.consecutiveFailures++
 	if l.consecutiveFailures == 1 {
 		f.logger.Warn("source lost", "origin", source.id, "error", err, "view_age_ms", f.Age().Milliseconds())
 	}
-	now := l.follower.clock.now()
 	if source.isStore {
 		l.storeFailures++
 		l.awaitTurn(now, f.clock.backoff(l.storeFailures))
@@ -194,6 +286,44 @@
 	return standbyFailurePause/2 + l.follower.clock.random(standbyFailurePause)
 }
 
+// handleHistoryGone makes the next call read everything: from the same source, or from another
+// instance if this one is not meant to read the store. It may do so at its turn, so that the
+// number of complete reads of the store does not grow with the instances.
+func (l *followLoop) handleHistoryGone(err error, source chosenSource) time.Duration {
+	f := l.follower
+	l.readCause = readHistoryGone
+	var gone *HistoryGoneError
+	if errors.As(err, &gone) && gone.Era > l.position.Era {
+		l.readCause = readNewEra
+	}
+	f.logger.Info("history of changes is gone, reading everything", "origin", source.id, "cause", l.readCause, "era", l.position.Era, "revision", l.position.Revision)
+	l.synced = false
+	if source.isStore && f.sources.StoreCallers() > 1 {
+		l.skipReaderUntil = time.Time{} // the store answers again, and so may the reader
+		l.awaitTurn(f.clock.now(), 0)
+	} else {
+		l.readFrom = &source
+	}
+	return peerPause
+}
+
+// handlePastEra spaces the calls to a store that answers in an era that has ended, and logs each
+// such era once.
+func (l *followLoop) handlePastEra(err *EraPastError) time.Duration {
+	f := l.follower
+	if !l.loggedEras[err.Era] {
+		if l.loggedEras == nil {
+			l.loggedEras = make(map[int64]bool)
+		}
+		l.loggedEras[err.Era] = true
+		f.logger.Warn("store answers in an era that has ended", "era", err.Era, "known", err.Known, "view_age_ms", f.Age().Milliseconds())
+	}
+	l.storeFailures++
+	l.awaitTurn(f.clock.now(), f.clock.backoff(l.storeFailures))
+	f.setStoreLost(true)
+	return peerPause
+}
+
 // awaitTurn sets the next call to the store, after a pause of at least the given length.
 func (l *followLoop) awaitTurn(now time.Time, atLeast time.Duration) {
 	l.awaitsTurn = true
@@ -204,7 +334,7 @@
 // zone take turns. Meanwhile this instance asks others, which may have reached the store. An
 // instance without a view cannot serve requests and does not wait for its turn.
 func (l *followLoop) turnPause() time.Duration {
-	if !l.synced {
+	if !l.hasView {
 		return 0
 	}
 	mean := time.Duration(l.follower.sources.StoreCallers()) * storeCallSpacing
@@ -213,7 +343,7 @@
 
 func (l *followLoop) handleSuccess(source chosenSource) {
 	if source.id != l.lastSource {
-		l.follower.logger.Info("source of the view changed", "origin", source.id, "before", l.lastSource, "revision", l.revision,
+		l.follower.logger.Info("source of the view changed", "origin", source.id, "before", l.lastSource, "era", l.position.Era, "revision", l.position.Revision,
 			"view_age_ms", l.follower.Age().Milliseconds())
 		l.lastSource = source.id
 	}
--- /dev/null
+++ b/pkg/feed/historymodel_test.go
@@ -0,0 +1,455 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
+)
+
+const (
+	// modelDrain is the drain time of the model's directories.
+	modelDrain = 3 * time.Second
+	// agreementBound is the time within which all instances agree once all reach the store and
+	// each other: a failed reader is tried again after readerBackoff, and the pauses between
+	// repeated full reads are at most as long.
+	agreementBound = 4 * readerBackoff
+	// maxInterleaving bounds how many steps run inside each other.
+	maxInterleaving = 2
+)
+
+var errLost = errors.New("answer lost")
+
+// historyModel runs the follow loops of several instances against a model store. Only one
+// goroutine runs; what happens during a call is drawn inside the call.
+type historyModel struct {
+	t         *rapid.T
+	log       []string // actions so far, for failures
+	now       time.Time
+	store     *modelStore
+	writeAt   []modelWrite
+	instances []*modelInstance
+	reader    int
+	depth     int
+	quiet     bool // no faults are drawn
+	version   int64
+}
+
+// modelWrite is when a position was written.
+type modelWrite struct {
+	era, revision int64
+	at            time.Time
+}
+
+// modelInstance is one run of an instance.
+type modelInstance struct {
+	m        *historyModel
+	id       int
+	f        *Follower
+	loop     *followLoop
+	nextStep time.Time
+	held     time.Duration // for which the last watch was held, while no faults are drawn
+	busy     bool          // a step is in progress
+	cut      bool          // the store refuses this instance
+	version  int64
+	// staying holds the write by which each run of a server was last seen staying, and gone
+	// that of the runs that then left, by Server.Key.
+	staying, gone map[string]int
+}
+
+// position returns the position of the instance's view.
+func (i *modelInstance) position() (era, revision int64) {
+	return i.loop.position.Era, i.loop.position.Revision
+}
+
+func (m *historyModel) add(id int) *modelInstance {
+	i := &modelInstance{m: m, id: id, staying: map[string]int{}, gone: map[string]int{}, nextStep: m.now}
+	now := func() time.Time { return m.now }
+	i.f = NewFollower(modelLink{i}, modelSources{i}, modelDecoder{}, directory.New(modelDrain, now), slog.New(slog.DiscardHandler))
+	i.f.clock = clock{now: now, random: func(limit time.Duration) time.Duration { return limit / 2 }}
+	i.loop = &followLoop{follower: i.f}
+	return i
+}
+
+func (m *historyModel) note(format string, args ...any) {
+	m.log = append(m.log, strings.Repeat("  ", m.depth)+fmt.Sprintf(format, args...))
+}
+
+func (m *historyModel) fatalf(format string, args ...any) {
+	m.t.Helper()
+	m.t.Fatalf("%s\nafter:\n%s", fmt.Sprintf(format, args...), strings.Join(m.log, "\n"))
+}
+
+func (m *historyModel) draw(label string, limit int) int {
+	return rapid.IntRange(0, limit-1).Draw(m.t, label)
+}
+
+func (m *historyModel) put(key, value string) {
+	m.store.put(key, value)
+	m.note("write %d/%d %s=%s", m.store.era(), m.store.revision(), key, value)
+	m.writeAt = append(m.writeAt, modelWrite{m.store.era(), m.store.revision(), m.now})
+}
+
+func (m *historyModel) write() {
+	key := fmt.Sprintf("server/%d", m.draw("server", 4))
+	current, listed := m.store.at(m.store.era(), m.store.revision())[key]
+	born := m.store.written + 1
+	if listed {
+		fmt.Sscanf(strings.Split(string(current.Value), "/")[1], "%d", &born)
+	}
+	switch kind := m.draw("kind of write", 5); {
+	case kind == 0:
+		m.version++
+		m.put("table", fmt.Sprint(m.version))
+	case kind == 1 && listed:
+		m.put(key, "")
+	case kind == 2 && listed:
+		m.put(key, fmt.Sprintf("leaving/%d", born))
+	case kind == 3 && listed:
+		m.put(key, fmt.Sprintf("live/%d", m.store.written+1)) // another run
+	case listed && strings.HasPrefix(string(current.Value), "leaving"):
+		m.put(key, "")
+	default:
+		m.put(key, fmt.Sprintf("live/%d", born))
+	}
+}
+
+func (m *historyModel) advance(limit time.Duration) {
+	m.now = m.now.Add(time.Duration(m.draw("ms", int(limit.Milliseconds()))+1) * time.Millisecond)
+	m.note("time %v", m.now.Sub(time.Unix(0, 0)))
+}
+
+// step runs a step of an instance.
+func (m *historyModel) step(i *modelInstance) {
+	if i.busy || i.nextStep.After(m.now) {
+		return
+	}
+	m.note("step of %d at %v", i.id, i.loop.position)
+	i.busy = true
+	m.depth++
+	pause := i.loop.step(context.Background())
+	m.depth--
+	i.busy = false
+	i.nextStep, i.held = m.now.Add(max(pause, time.Millisecond)+i.held), 0
+	m.note("step of %d ends at %v", i.id, i.loop.position)
+	m.check(i)
+}
+
+// interleave lets other things happen during a call.
+func (m *historyModel) interleave(limit time.Duration) {
+	if m.depth > maxInterleaving {
+		return
+	}
+	for range m.draw("meanwhile", 3) {
+		switch m.draw("event", 5) {
+		case 0, 1:
+			m.write()
+		case 2, 3:
+			m.step(m.instances[m.draw("instance", len(m.instances))])
+		case 4:
+			m.advance(limit)
+		}
+	}
+}
+
+// deliver ends a call whose answer was created at a time: the answer arrives in time, or not.
+func (m *historyModel) deliver(created time.Time, wait time.Duration) error {
+	m.interleave(maxReplyDelay)
+	if m.now.Sub(created) > maxReplyDelay || !m.quiet && m.draw("lost", 10) == 0 {
+		m.note("answer lost")
+		m.now = m.now.Add(wait)
+		return errLost
+	}
+	return nil
+}
+
+// hold passes the time for which a watch is held. Without a change that is the whole wait.
+// While no faults are drawn, the instances wait side by side: the watch ends at once, and the
+// next step comes later instead.
+func (m *historyModel) hold(i *modelInstance, wait time.Duration, hasChange func() bool) {
+	if m.quiet {
+		i.held = wait / 4
+		return
+	}
+	until := m.now.Add(wait)
+	m.interleave(wait/4 + time.Millisecond)
+	if !hasChange() && m.now.Before(until) {
+		m.now = until
+	}
+}
+
+// modelLink is the store as one instance reaches it.
+type modelLink struct{ i *modelInstance }
+
+func (l modelLink) refused() bool { return l.i.cut || l.i.m.store.down }
+
+func (l modelLink) Read(context.Context) (Batch, error) {
+	m := l.i.m
+	var batch Batch
+	for after, more := "", true; more; {
+		if l.refused() {
+			return Batch{}, errUnavailable
+		}
+		var page []Item
+		page, more = m.store.page(after)
+		if after == "" {
+			batch.Position = m.store.position()
+		}
+		batch.Items = append(batch.Items, page...)
+		if len(page) > 0 {
+			after = page[len(page)-1].Key
+		}
+		if more {
+			m.interleave(maxReplyDelay)
+		}
+	}
+	m.note("read of %d from the store at %v: %d items", l.i.id, batch.Position, len(batch.Items))
+	return batch, m.deliver(m.now, readTimeout)
+}
+
+func (l modelLink) ReadTable(context.Context) (Batch, error) {
+	m := l.i.m
+	if l.refused() {
+		return Batch{}, errUnavailable
+	}
+	b := Batch{Position: m.store.position()}
+	if item, ok := m.store.at(m.store.era(), m.store.revision())["table"]; ok {
+		b.Items = []Item{item}
+	}
+	return b, m.deliver(m.now, storeConfirmTimeout)
+}
+
+func (l modelLink) Watch(_ context.Context, after Position, wait time.Duration) (Batch, error) {
+	m := l.i.m
+	m.hold(l.i, wait, func() bool { return m.store.revision() != after.Revision })
+	if l.refused() {
+		return Batch{}, errUnavailable
+	}
+	if after.Revision < m.store.truncated || after.Revision > m.store.revision() {
+		return Batch{}, &HistoryGoneError{Era: m.store.era()}
+	}
+	b := Batch{Position: m.store.position(), Items: append([]Item(nil), m.store.history()[after.Revision:]...)}
+	m.note("watch of %d after %v: %d changes up to %v", l.i.id, after, len(b.Items), b.Position)
+	return b, m.deliver(m.now, watchGrace)
+}
+
+// modelPeer is an instance as another one reaches it.
+type modelPeer struct{ from, to *modelInstance }
+
+func (p modelPeer) ID() string { return fmt.Sprint(p.to.id) }
+
+func (p modelPeer) Read(context.Context) (Batch, error) {
+	m := p.from.m
+	m.interleave(maxReplyDelay)
+	b, ok := p.to.f.AllItems()
+	if !ok {
+		return Batch{}, errUnavailable
+	}
+	m.note("read of %d from %d at %v, age %v", p.from.id, p.to.id, b.Position, b.Age)
+	return b, m.deliver(m.now, readTimeout)
+}
+
+func (p modelPeer) Watch(_ context.Context, after Position, wait time.Duration) (Batch, error) {
+	m := p.from.m
+	m.hold(p.from, wait, func() bool {
+		b, err := p.to.f.changesNow(after)
+		return err != nil || len(b.Items) > 0 || b.Age > maxPeerViewAge
+	})
+	b, err := p.to.f.changesNow(after)
+	if err != nil {
+		m.note("watch of %d from %d: %v", p.from.id, p.to.id, err)
+		return Batch{}, err
+	}
+	m.note("watch of %d from %d after %v: %d changes up to %v, age %v", p.from.id, p.to.id, after, len(b.Items), b.Position, b.Age)
+	return b, m.deliver(m.now, watchGrace)
+}
+
+func (p modelPeer) ConfirmTable(ctx context.Context, version int64) (TableReply, error) {
+	return p.to.f.ConfirmTable(ctx, version), p.from.m.deliver(p.from.m.now, peerConfirmTimeout)
+}
+
+// modelSources makes all instances follow the model's reader, and the one after it when that
+// fails.
+type modelSources struct{ i *modelInstance }
+
+func (s modelSources) peer(offset int) PeerSource {
+	m := s.i.m
+	to := m.instances[(m.reader+offset)%len(m.instances)]
+	if to.id == s.i.id {
+		return nil
+	}
+	return modelPeer{s.i, to}
+}
+
+func (s modelSources) Reader() PeerSource { return s.peer(0) }
+
+func (s modelSources) Standby(failed int) PeerSource {
+	if failed > 0 {
+		return nil
+	}
+	return s.peer(1)
+}
+
+func (s modelSources) StoreCallers() int { return len(s.i.m.instances) }
+
+func (s modelSources) Any() PeerSource {
+	return s.peer(s.i.m.draw("any", len(s.i.m.instances)))
+}
+
+// check compares an instance with the truth.
+func (m *historyModel) check(i *modelInstance) {
+	if i.f.Table() == nil {
+		return
+	}
+	m.checkItems(i)
+	m.checkAge(i)
+	if version := i.f.Table().Version(); version < i.version {
+		m.fatalf("instance %d: table went back from %d to %d", i.id, i.version, version)
+	} else {
+		i.version = version
+	}
+	m.checkServers(i)
+}
+
+// checkItems checks that an instance holds what the store held at its position. A full read
+// may include later changes.
+func (m *historyModel) checkItems(i *modelInstance) {
+	era, revision := i.position()
+	held, _, _ := i.f.cache.all()
+	items := map[string]Item{}
+	for _, item := range held.Items {
+		items[item.Key] = item
+	}
+	for _, key := range []string{"table", "server/0", "server/1", "server/2", "server/3"} {
+		matches := false
+		for later := revision; !matches && later <= int64(len(m.store.eras[era-1])); later++ {
+			truth, listed := m.store.at(era, later)[key]
+			item, known := items[key]
+			matches = listed == known && truth.Revision == item.Revision && string(truth.Value) == string(item.Value)
+		}
+		if !matches {
+			m.fatalf("instance %d at %d/%d holds %q = %q (%d), the store held %q (%d)", i.id, era, revision, key, items[key].Value, items[key].Revision,
+				m.store.at(era, revision)[key].Value, m.store.at(era, revision)[key].Revision)
+		}
+	}
+}
+
+// checkAge checks that the view includes all changes up to the time that its age states.
+func (m *historyModel) checkAge(i *modelInstance) {
+	era, revision := i.position()
+	asOf := m.now.Add(-i.f.Age())
+	for _, w := range m.writeAt {
+		if w.at.Before(asOf) && (w.era > era || w.era == era && w.revision > revision) {
+			m.fatalf("instance %d at %d/%d states an age of %v, but lacks %d/%d, written %v ago", i.id, era, revision, i.f.Age(), w.era, w.revision, m.now.Sub(w.at))
+		}
+	}
+}
+
+// checkServers checks that no run of a server that the instance has seen leaving is used again
+// by an entry that is not newer.
+func (m *historyModel) checkServers(i *modelInstance) {
+	staying := map[string]int{}
+	for _, s := range i.f.directory.Servers("s") {
+		if s.Leaving() {
+			continue
+		}
+		staying[s.Key()] = s.Capacity
+		if left, gone := i.gone[s.Key()]; gone && s.Capacity <= left {
+			m.fatalf("instance %d uses %s by write %d, but had seen it leave after write %d", i.id, s.Key(), s.Capacity, left)
+		}
+	}
+	for key, write := range i.staying {
+		if _, stays := staying[key]; !stays {
+			i.gone[key] = write
+		}
+	}
+	i.staying = staying
+}
+
+// agree lets all instances reach the store and each other, and checks that they agree with it
+// within agreementBound.
+func (m *historyModel) agree() {
+	m.note("no faults from here on")
+	m.quiet, m.store.down = true, false
+	for _, i := range m.instances {
+		i.cut = false
+	}
+	m.depth = maxInterleaving + 1 // nothing is interleaved
+	for end := m.now.Add(agreementBound); m.now.Before(end); {
+		next := m.instances[0]
+		for _, i := range m.instances {
+			if i.nextStep.Before(next.nextStep) {
+				next = i
+			}
+		}
+		if next.nextStep.After(m.now) {
+			m.now = next.nextStep
+		}
+		m.step(next)
+	}
+	m.depth, m.quiet = 0, false
+	for _, i := range m.instances {
+		if era, revision := i.position(); era != m.store.era() || revision != m.store.revision() {
+			m.fatalf("instance %d is at %d/%d, the store at %d/%d", i.id, era, revision, m.store.era(), m.store.revision())
+		}
+		m.check(i)
+	}
+}
+
+// Guards against missed changes, servers that come back, and views that are older than they
+// state, for any order of writes, outages, lost and late answers, sources that change or lie
+// behind, and restarts.
+func TestHistoryIsFollowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &historyModel{t: t, now: time.Unix(0, 0), store: newModelStore()}
+		m.version = 1
+		m.put("table", "1")
+		m.put("server/0", "live/1")
+		for id := range rapid.IntRange(3, 8).Draw(t, "instances") {
+			m.instances = append(m.instances, m.add(id))
+		}
+		any := func() int { return m.draw("instance", len(m.instances)) }
+		actions := map[string]func(){
+			"write":   func() { m.write() },
+			"advance": func() { m.advance(2 * time.Second) },
+			"step":    func() { m.step(m.instances[any()]) },
+			"step2":   func() { m.step(m.instances[any()]) },
+			"run": func() {
+				m.now = m.now.Add(200 * time.Millisecond)
+				for _, i := range m.instances {
+					m.step(i)
+				}
+			},
+			"truncate": func() { m.store.truncated = m.store.revision(); m.note("history truncated") },
+			"outage":   func() { m.store.down = !m.store.down; m.note("store down: %v", m.store.down) },
+			"cut":      func() { i := m.instances[any()]; i.cut = !i.cut; m.note("%d cut: %v", i.id, i.cut) },
+			"reader":   func() { m.reader = any(); m.note("reader is %d", m.reader) },
+			"restart":  func() { id := any(); m.instances[id] = m.add(id); m.note("restart of %d", id) },
+			"agree":    m.agree,
+		}
+		repeated := map[string]func(*rapid.T){}
+		for name, action := range actions {
+			repeated[name] = func(t *rapid.T) {
+				m.t = t
+				action()
+			}
+		}
+		t.Repeat(repeated)
+		m.t = t
+		m.agree()
+	})
+}
+
+// changesNow is ChangesAfter without a wait.
+func (f *Follower) changesNow(after Position) (Batch, error) {
+	b, confirmed, _, err := f.cache.changesAfter(after)
+	b.Age = f.ageForPeers(confirmed, f.storeLost)
+	return b, err
+}
--- a/pkg/feed/source.go
+++ b/pkg/feed/source.go
@@ -10,33 +10,40 @@
 )
 
 // ErrHistoryGone is returned by Watch when the source no longer has all changes since
-// the revision. The caller has to read all items again.
+// the position, in this era or at all. The caller has to read all items again.
 var ErrHistoryGone = errors.New("the history of changes is gone")
 
+// ErrNoView is returned by an instance that has not read the store yet.
+var ErrNoView = errors.New("this instance has not read the store yet")
+
 // Item is one published item. The platform defines the format of the value.
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision int64 // of the item's last change
+	Revision int64 // of the item's last change, in the era of the batch
 	Removed  bool
 }
 
-// Batch holds all items, or the changed ones, as of a revision.
+// Batch holds all items, or the changed ones, as of a position.
 type Batch struct {
 	Items    []Item
-	Revision int64
+	Position Position // its era is 0 if the source does not know it
 	// Age is the time since the store confirmed that there is no newer change.
 	Age time.Duration
+	// Restored is set with all items of an instance that has seen the store restored.
+	Restored *RestoreState
 }
 
 // Source is the platform's store, or another instance that follows it.
 type Source interface {
 	// Read returns all items. The result is not a consistent snapshot: changes after its
-	// revision may already be included, so the caller watches from that revision on.
+	// position may already be included, so the caller watches from that position on.
 	Read(ctx context.Context) (Batch, error)
-	// Watch returns the changes after a revision, in their order. It returns as soon as
-	// there is a change, or without changes after wait.
-	Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error)
+	// Watch returns the changes after a position, in their order. It returns as soon as
+	// there is a change, or without changes after wait. A source in an older era than that
+	// of the position returns its own position without changes, one in a newer era
+	// ErrHistoryGone. The store itself answers by the revision alone.
+	Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
 
 // Store is the platform's store itself.
--- a/pkg/feed/staletableerror.go
+++ b/pkg/feed/staletableerror.go
@@ -2,12 +2,12 @@
 
 import "fmt"
 
-// StaleTableError reports that another instance has an older table than this one.
+// StaleTableError reports that the store or another instance has an older table than this one.
 type StaleTableError struct {
-	Peer           string
-	Version, Known int64 // of the other instance's table, and of this one's
+	Origin         string
+	Version, Known int64 // of the other table, and of this instance's
 }
 
 func (e *StaleTableError) Error() string {
-	return fmt.Sprintf("instance %s has table %d, this instance has %d", e.Peer, e.Version, e.Known)
+	return fmt.Sprintf("%s has table %d, this instance has %d", e.Origin, e.Version, e.Known)
 }
--- a/pkg/feed/tableconfirmer.go
+++ b/pkg/feed/tableconfirmer.go
@@ -37,10 +37,15 @@
 	now     func() time.Time
 	// current returns the table in force, nil before the first one.
 	current func() *routing.Table
-	// adopt puts a table in force unless it is older.
-	adopt func(item Item, origin string)
+	// adopt puts a table in force unless it is older. It returns the table, nil if the item
+	// holds none.
+	adopt func(item Item, origin string) *routing.Table
 	// viewAge returns the time since the store has confirmed the whole view.
 	viewAge func() time.Duration
+	// era returns the era of the view, 0 if unknown.
+	era func() int64
+	// unconfirmed reports whether no confirmation holds, however recent.
+	unconfirmed func() bool
 
 	confirmed confirmation // of the table alone
 	inFlight  singleflight.Group
@@ -50,7 +55,12 @@
 }
 
 // age returns the time since the store has confirmed the table.
-func (c *tableConfirmer) age() time.Duration { return min(c.confirmed.age(c.now()), c.viewAge()) }
+func (c *tableConfirmer) age() time.Duration {
+	if c.unconfirmed() {
+		return unconfirmedAge
+	}
+	return min(c.confirmed.age(c.now()), c.viewAge())
+}
 
 // byAnyone confirms the table by the zone's reader, a standby reader in its place, or at last
 // the store.
@@ -98,12 +108,14 @@
 	ctx, cancel := context.WithTimeout(ctx, peerConfirmTimeout)
 	defer cancel()
 	requestedAt := c.now()
-	known := c.current().Version()
+	known, era := c.current().Version(), c.era()
 	reply, err := peer.ConfirmTable(ctx, known)
 	switch {
 	case err != nil:
+	case reply.Era != 0 && reply.Era < era:
+		err = &EraPastError{Origin: "instance " + peer.ID(), Era: reply.Era, Known: era}
 	case reply.Version < known:
-		err = &StaleTableError{Peer: peer.ID(), Version: reply.Version, Known: known}
+		err = &StaleTableError{Origin: "instance " + peer.ID(), Version: reply.Version, Known: known}
 	case c.now().Sub(requestedAt)+reply.Age >= maxConfirmedAge:
 		err = &StaleViewError{Peer: peer.ID(), Age: reply.Age}
 	}
@@ -128,9 +140,29 @@
 		c.logger.Warn("table not confirmed by the store", "error", err, "table_age_ms", c.age().Milliseconds())
 		return err
 	}
-	for _, item := range batch.Items {
-		c.adopt(item, "confirmation")
+	if err := c.checkStore(batch); err != nil {
+		c.logger.Warn("table not confirmed by the store", "error", err, "table_age_ms", c.age().Milliseconds())
+		return err
 	}
 	c.confirmed.advance(requestedAt)
 	return nil
 }
+
+// checkStore adopts the store's table. It returns an error if the store cannot confirm the table
+// in force: it is in another era than the view, so that either may be outdated, or its table is
+// older.
+func (c *tableConfirmer) checkStore(batch Batch) error {
+	known, era := c.current().Version(), c.era()
+	if batch.Position.Era != 0 && batch.Position.Era < era {
+		return &EraPastError{Origin: "store", Era: batch.Position.Era, Known: era}
+	}
+	for _, item := range batch.Items {
+		if table := c.adopt(item, "confirmation"); table != nil && table.Version() < known {
+			return &StaleTableError{Origin: "store", Version: table.Version(), Known: known}
+		}
+	}
+	if era != 0 && batch.Position.Era > era {
+		return &BehindError{Origin: "this instance", At: Position{Era: era}, Known: batch.Position}
+	}
+	return nil
+}
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -115,8 +116,8 @@
 	return p.watch(ctx, &peeringpb.WatchRequest{Everything: true})
 }
 
-func (p *peerSource) Watch(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error) {
-	return p.watch(ctx, &peeringpb.WatchRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
+func (p *peerSource) Watch(ctx context.Context, after feed.Position, wait time.Duration) (feed.Batch, error) {
+	return p.watch(ctx, &peeringpb.WatchRequest{After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds())})
 }
 
 func (p *peerSource) watch(ctx context.Context, m *peeringpb.WatchRequest) (feed.Batch, error) {
@@ -126,9 +127,13 @@
 		return feed.Batch{}, eris.Wrapf(err, "watch instance %s", p.member.ID)
 	}
 	if reply.GetHistoryGone() {
-		return feed.Batch{}, feed.ErrHistoryGone
+		return feed.Batch{}, &feed.HistoryGoneError{Era: max(reply.GetEra(), 0)}
+	}
+	b := feed.Batch{
+		Position: position(reply.GetEra(), reply.GetRevision()),
+		Age:      fromMilliseconds(reply.GetAgeMs()),
+		Restored: restoreFromProto(reply.GetRestore()),
 	}
-	b := feed.Batch{Revision: reply.GetRevision(), Age: fromMilliseconds(reply.GetAgeMs())}
 	for _, item := range reply.GetItems() {
 		b.Items = append(b.Items, itemFromProto(item))
 	}
@@ -141,7 +146,7 @@
 		// The instance may wait for a slow store, so that a failure says nothing about it.
 		return feed.TableReply{}, eris.Wrapf(err, "confirm table with instance %s", p.member.ID)
 	}
-	confirmed := feed.TableReply{Version: reply.GetVersion(), Age: fromMilliseconds(reply.GetAgeMs())}
+	confirmed := feed.TableReply{Version: reply.GetVersion(), Era: max(reply.GetEra(), 0), Age: fromMilliseconds(reply.GetAgeMs())}
 	if reply.GetItem() != nil {
 		item := itemFromProto(reply.GetItem())
 		confirmed.Item = &item
@@ -149,6 +154,11 @@
 	return confirmed, nil
 }
 
+// position takes an era that is out of range for unknown.
+func position(era, revision int64) feed.Position {
+	return feed.Position{Era: max(era, 0), Revision: revision}
+}
+
 func itemFromProto(m *peeringpb.Item) feed.Item {
 	return feed.Item{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Removed: m.GetRemoved()}
 }
@@ -157,10 +167,39 @@
 	return &peeringpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed}
 }
 
+func restoreFromProto(m *peeringpb.Restore) *feed.RestoreState {
+	if m == nil {
+		return nil
+	}
+	state := &feed.RestoreState{Ago: fromMilliseconds(m.GetAgoMs()), FreshFrom: m.GetFreshFrom()}
+	for _, item := range m.GetEarlier() {
+		state.Earlier = append(state.Earlier, itemFromProto(item))
+	}
+	if m.GetTable() != nil {
+		table := itemFromProto(m.GetTable())
+		state.Table = &table
+	}
+	return state
+}
+
+func restoreToProto(state *feed.RestoreState) *peeringpb.Restore {
+	if state == nil {
+		return nil
+	}
+	m := &peeringpb.Restore{AgoMs: toMilliseconds(state.Ago), FreshFrom: state.FreshFrom}
+	for _, item := range state.Earlier {
+		m.Earlier = append(m.Earlier, itemToProto(item))
+	}
+	if state.Table != nil {
+		m.Table = itemToProto(*state.Table)
+	}
+	return m
+}
+
 // StoreView is what this instance knows of the store.
 type StoreView interface {
 	AllItems() (feed.Batch, bool)
-	ChangesAfter(ctx context.Context, after int64, wait time.Duration) (feed.Batch, error)
+	ChangesAfter(ctx context.Context, after feed.Position, wait time.Duration) (feed.Batch, error)
 	ConfirmTable(ctx context.Context, version int64) feed.TableReply
 }
 
@@ -173,20 +212,26 @@
 	if m.GetEverything() {
 		all, ok := f.AllItems()
 		if !ok {
-			return nil, eris.New("this instance has not read the store yet")
+			return nil, feed.ErrNoView
 		}
 		b = all
 	} else {
-		changes, err := f.ChangesAfter(ctx, m.GetAfter(), min(fromMilliseconds(m.GetWaitMs()), maxWatchWait))
-		if eris.Is(err, feed.ErrHistoryGone) {
-			return &peeringpb.WatchReply{HistoryGone: true}, nil
+		changes, err := f.ChangesAfter(ctx, position(m.GetEra(), m.GetAfter()), min(fromMilliseconds(m.GetWaitMs()), maxWatchWait))
+		if errors.Is(err, feed.ErrHistoryGone) {
+			reply := &peeringpb.WatchReply{HistoryGone: true}
+			if gone := (*feed.HistoryGoneError)(nil); errors.As(err, &gone) {
+				reply.Era = gone.Era
+			}
+			return reply, nil
 		}
 		if err != nil {
 			return nil, err
 		}
 		b = changes
 	}
-	reply := &peeringpb.WatchReply{Revision: b.Revision, AgeMs: toMilliseconds(b.Age)}
+	reply := &peeringpb.WatchReply{
+		Era: b.Position.Era, Revision: b.Position.Revision, AgeMs: toMilliseconds(b.Age), Restore: restoreToProto(b.Restored),
+	}
 	for _, item := range b.Items {
 		reply.Items = append(reply.Items, itemToProto(item))
 	}
@@ -197,7 +242,7 @@
 func serveConfirmTable(ctx context.Context, f StoreView, m *peeringpb.ConfirmTableRequest) *peeringpb.ConfirmTableReply {
 	confirmed := f.ConfirmTable(ctx, m.GetVersion())
 	// Rounded up: the receiver must not take the table for more recently confirmed than it is.
-	reply := &peeringpb.ConfirmTableReply{Version: confirmed.Version, AgeMs: toMilliseconds(confirmed.Age + time.Millisecond)}
+	reply := &peeringpb.ConfirmTableReply{Version: confirmed.Version, Era: confirmed.Era, AgeMs: toMilliseconds(confirmed.Age + time.Millisecond)}
 	if confirmed.Item != nil {
 		reply.Item = itemToProto(*confirmed.Item)
 	}
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -29,12 +29,12 @@
 
 func (s stubFeed) AllItems() (feed.Batch, bool) { return s.batch, s.err == nil }
 
-func (s stubFeed) ChangesAfter(context.Context, int64, time.Duration) (feed.Batch, error) {
+func (s stubFeed) ChangesAfter(context.Context, feed.Position, time.Duration) (feed.Batch, error) {
 	return s.batch, s.err
 }
 
 func (s stubFeed) ConfirmTable(_ context.Context, version int64) feed.TableReply {
-	reply := feed.TableReply{Version: s.batch.Revision, Age: s.batch.Age}
+	reply := feed.TableReply{Era: s.batch.Position.Era, Version: s.batch.Position.Revision, Age: s.batch.Age}
 	if len(s.batch.Items) > 0 && version < reply.Version {
 		reply.Item = &s.batch.Items[0]
 	}
@@ -191,11 +191,13 @@
 
 // Guards against items of the store that are altered on their way through a reader.
 func TestItemsTravelUnchanged(t *testing.T) {
-	batch := feed.Batch{Revision: 9, Age: 40 * time.Millisecond, Items: []feed.Item{
-		{Key: "k", Value: []byte{0, 255}, Revision: 8}, {Key: "gone", Revision: 9, Removed: true}}}
+	held := feed.Item{Key: "held", Value: []byte{1}, Revision: 12}
+	batch := feed.Batch{Position: feed.Position{Era: 2, Revision: 9}, Age: 40 * time.Millisecond, Items: []feed.Item{
+		{Key: "k", Value: []byte{0, 255}, Revision: 8}, {Key: "gone", Revision: 9, Removed: true}},
+		Restored: &feed.RestoreState{Ago: time.Second, FreshFrom: 8, Earlier: []feed.Item{held}, Table: &held}}
 	p := servePeer(t, stubFeed{batch: batch}, &stubGatherer{})
 	source := &peerSource{members: p.members, client: p.client, member: Member{ID: "served", Address: p.address}}
-	got, err := source.Watch(context.Background(), 7, time.Second)
+	got, err := source.Watch(context.Background(), feed.Position{Era: 1, Revision: 7}, time.Second)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, batch)
 	got, err = source.Read(context.Background())
@@ -207,12 +209,12 @@
 // receiver would take the table for more recently confirmed than it is.
 func TestTableConfirmationTravelsUnchanged(t *testing.T) {
 	table := feed.Item{Key: "table", Value: []byte{0, 255}, Revision: 8}
-	batch := feed.Batch{Revision: 9, Age: 40*time.Millisecond + time.Microsecond, Items: []feed.Item{table}}
+	batch := feed.Batch{Position: feed.Position{Era: 2, Revision: 9}, Age: 40*time.Millisecond + time.Microsecond, Items: []feed.Item{table}}
 	p := servePeer(t, stubFeed{batch: batch}, &stubGatherer{})
 	source := &peerSource{members: p.members, client: p.client, member: Member{ID: "served", Address: p.address}}
 	got, err := source.ConfirmTable(context.Background(), 8)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, got, feed.TableReply{Version: 9, Item: &table, Age: 41 * time.Millisecond})
+	assert.DeepEqual(t, got, feed.TableReply{Era: 2, Version: 9, Item: &table, Age: 41 * time.Millisecond})
 	got, err = source.ConfirmTable(context.Background(), 9)
 	assert.NilError(t, err)
 	assert.Assert(t, got.Item == nil)
@@ -243,10 +245,12 @@
 // Guards against taking the reply of a reader without the history, or without any items
 // yet, for a reply without changes.
 func TestReaderWithoutHistory(t *testing.T) {
-	p := servePeer(t, stubFeed{err: feed.ErrHistoryGone}, &stubGatherer{})
+	p := servePeer(t, stubFeed{err: &feed.HistoryGoneError{Era: 3}}, &stubGatherer{})
 	source := &peerSource{members: p.members, client: p.client, member: Member{ID: "served", Address: p.address}}
-	_, err := source.Watch(context.Background(), 7, time.Second)
+	_, err := source.Watch(context.Background(), feed.Position{Era: 1, Revision: 7}, time.Second)
 	assert.Assert(t, errors.Is(err, feed.ErrHistoryGone))
+	var gone *feed.HistoryGoneError
+	assert.Assert(t, errors.As(err, &gone) && gone.Era == 3)
 	_, err = source.Read(context.Background())
 	assert.Assert(t, err != nil)
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -139,6 +139,7 @@
 		}
 		return nil
 	})
+	r.registry.Func("full_reads", func() any { return r.follower.FullReads().Counts() })
 	r.registry.Func("store_calls", func() any { return r.follower.StoreCalls().Counts() })
 	r.registry.Func("view_age_ms", func() any { return r.follower.Age().Milliseconds() })
 	r.registry.Func("backend_servers", func() any {
