--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -92,7 +92,7 @@
 		},
 		viewAge:     f.Age,
 		era:         f.era.Load,
-		unconfirmed: f.tableUnconfirmed,
+		confirmable: f.tableConfirmable,
 	}
 	return f
 }
@@ -332,11 +332,12 @@
 	return now.Sub(confirmed)
 }
 
-// tableUnconfirmed reports whether no confirmation holds for the table in force: the store was
-// restored and its writers have not had the time to write again, or its table is older.
-func (f *Follower) tableUnconfirmed() bool {
-	_, settling := f.restored.settlesAt()
-	return settling || f.restored.seen() && f.storeTableIsOlder()
+// tableConfirmable reports whether a confirmation of the table in force as of a time holds. It
+// does not if the store had been restored and its writers had not had the time to write again, or
+// if the store's table is older.
+func (f *Follower) tableConfirmable(asOf time.Time) bool {
+	began := f.restored.beganAt()
+	return began.IsZero() || !asOf.Before(began.Add(rewriteTime)) && !f.storeTableIsOlder()
 }
 
 func (f *Follower) storeTableIsOlder() bool {
@@ -344,9 +345,10 @@
 	return table != nil && f.storeTable.Load() < table.Version()
 }
 
-// observeStoreTable records the version of the store's table. Complete tells whether the items
-// are all items of the store.
-func (f *Follower) observeStoreTable(items []Item, complete bool) {
+// observeStoreTable records the version of the store's table, and puts the table in force if it is
+// newer although an earlier one is held after a restore. Complete tells whether the items are all
+// items of the store.
+func (f *Follower) observeStoreTable(items []Item, complete bool, origin string) {
 	current := f.table.Load()
 	if current == nil {
 		return
@@ -362,6 +364,7 @@
 			f.storeTable.Store(current.Version())
 		} else if table := f.decoder.Decode(item).Table; table != nil {
 			f.storeTable.Store(table.Version())
+			f.adoptTable(item, table, origin)
 		}
 	}
 }
@@ -372,6 +375,7 @@
 	if len(changes) == 0 {
 		return
 	}
+	f.cache.rememberRemoved(changes)
 	f.applyChanges(changes, "restore")
 	for _, item := range changes {
 		if id := f.decoder.Decode(item).ServerID; item.Removed && id != "" {
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -148,7 +148,6 @@
 		l.follower.calls.countFetch(l.synced)
 	}
 	if !l.synced {
-		l.pacing.record(l.follower.clock.now())
 		l.follower.fullReads.count(l.readCause)
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
@@ -194,7 +193,7 @@
 		changes, unseen := f.cache.news(batch)
 		f.restored.release(unseen)
 		f.applyChanges(unseen, source.id)
-		f.observeStoreTable(unseen, false)
+		f.observeStoreTable(unseen, false, source.id)
 		f.confirmed.advance(confirmed)
 		f.cache.add(changes, batch.Position.Revision, confirmed)
 		l.position.Revision = max(l.position.Revision, batch.Position.Revision)
@@ -209,12 +208,17 @@
 // has a higher revision.
 func (l *followLoop) applyRead(batch Batch, confirmed time.Time, source chosenSource) {
 	f := l.follower
+	l.pacing.record(f.clock.now())
 	// Without eras, a restore shows only by the lower revision.
 	restored := l.hasView && (batch.Position.Era > l.position.Era || batch.Position.Compare(l.position) < 0)
-	if restored || !l.hasView && batch.Restored != nil {
+	if restored {
 		f.logger.Warn("store was restored", "origin", source.id, "era", batch.Position.Era, "revision", batch.Position.Revision,
 			"era_before", l.position.Era, "revision_before", l.position.Revision)
-		f.restored.begin(f.cache.known(), batch, f.clock.now())
+	}
+	if restored || !l.hasView && (batch.Restored != nil || batch.Position.Era > firstEra) {
+		// An instance that starts does not know how long ago the era began, and that the table
+		// which it reads is not older than one that was acknowledged before.
+		f.restored.begin(f.cache.known(), l.position.Era, batch, f.clock.now())
 	}
 	f.era.Store(batch.Position.Era)
 	inForce := batch
@@ -223,7 +227,7 @@
 	if state := batch.Restored; state != nil && state.Table != nil {
 		f.adoptTable(*state.Table, f.decoder.Decode(*state.Table).Table, source.id)
 	}
-	f.observeStoreTable(batch.Items, true)
+	f.observeStoreTable(batch.Items, true, source.id)
 	f.confirmed.advance(confirmed)
 	f.cache.replace(batch, confirmed)
 	l.position = batch.Position
--- a/pkg/feed/modelstore_test.go
+++ b/pkg/feed/modelstore_test.go
@@ -43,6 +43,12 @@
 	s.eras[len(s.eras)-1] = append(s.history(), item)
 }
 
+// restore starts a new era with the history up to a revision.
+func (s *modelStore) restore(revision int64) {
+	s.eras = append(s.eras, slices.Clone(s.history()[:revision]))
+	s.truncated = min(s.truncated, revision)
+}
+
 // at returns the items as of a position.
 func (s *modelStore) at(era, revision int64) map[string]Item {
 	items := map[string]Item{}
--- a/pkg/feed/position.go
+++ b/pkg/feed/position.go
@@ -5,6 +5,9 @@
 	"strconv"
 )
 
+// firstEra is the era of a store that has never been restored.
+const firstEra = 1
+
 // Position is a position in the store's history. The store starts a new era when it is restored
 // from a copy: revisions then go back and are assigned again to other changes. Positions are
 // ordered by era, then by revision.
--- a/pkg/feed/readpacing.go
+++ b/pkg/feed/readpacing.go
@@ -13,13 +13,14 @@
 	readsForgottenAfter = 30 * time.Second
 )
 
-// readPacing spaces the complete reads of an instance that has a view.
+// readPacing spaces the complete reads that an instance puts in force. Reads that fail are spaced
+// like other calls.
 type readPacing struct {
 	reads  int // within readsForgottenAfter of each other
 	lastAt time.Time
 }
 
-// nextAt returns the time before which everything should not be read again.
+// nextAt returns the time before which everything is not read again.
 func (p *readPacing) nextAt(now time.Time) time.Time {
 	if p.reads == 0 || now.Sub(p.lastAt) > readsForgottenAfter {
 		return now
--- a/pkg/feed/restoration.go
+++ b/pkg/feed/restoration.go
@@ -22,35 +22,53 @@
 
 	mu        sync.Mutex
 	began     time.Time // when the current era was first read; zero before the first restore
-	freshFrom int64     // items from this revision on were written after the restore
+	eraBefore int64     // era that was known before
+	freshFrom int64     // items from this revision on were written after eraBefore
 	settled   bool      // rewriteTime has passed
 	// earlier holds what is held in place of the store's item of the same key, or of its
 	// absence. Removed items are held against those of the copy.
 	earlier map[string]Item
 }
 
-// begin starts to hold what was known before a restore. First is the first complete read of the
-// era by this instance.
-func (r *restoration) begin(known knownHistory, first Batch, now time.Time) {
+// begin starts to hold what was known before a restore, in the era eraBefore. First is the first
+// complete read of the era by this instance.
+func (r *restoration) begin(known knownHistory, eraBefore int64, first Batch, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	held := known.latest
 	for key, item := range r.earlier {
 		held[key] = item
 	}
-	r.began, r.settled = now, false
+	r.began, r.eraBefore = now, eraBefore
 	r.freshFrom = min(first.Position.Revision+1, known.divergence(first.Items))
 	if state := first.Restored; state != nil {
 		// The sender may have read the era at its beginning, and this instance later.
 		r.began = now.Add(-state.Ago)
-		r.freshFrom = min(r.freshFrom, state.FreshFrom)
-		for _, item := range state.Earlier {
-			if own, ok := held[item.Key]; !ok || own.Revision < item.Revision {
-				held[item.Key] = item
-			}
-		}
+		r.takeOverLocked(state, held)
 	}
 	r.earlier = held
+	r.settled = !now.Before(r.began.Add(rewriteTime))
+}
+
+// takeOverLocked adds what another instance holds, unless this instance has known a later era
+// before. Between two histories, revisions say nothing about the order of two items.
+func (r *restoration) takeOverLocked(state *RestoreState, held map[string]Item) {
+	if state.EraBefore < r.eraBefore {
+		return
+	}
+	later := state.EraBefore > r.eraBefore
+	if later {
+		r.eraBefore, r.freshFrom = state.EraBefore, state.FreshFrom
+	}
+	r.freshFrom = min(r.freshFrom, state.FreshFrom)
+	for _, item := range state.Earlier {
+		own, known := held[item.Key]
+		// What this instance has seen leave may be in the copy of which the sender's item is.
+		hasLeft := known && !item.Removed && r.hasGone(own, item)
+		if !known || later && !hasLeft || r.isNewer(own, item) {
+			held[item.Key] = item
+		}
+	}
 }
 
 // resolve returns the items in force for a complete list, and forgets what is no longer held.
@@ -88,8 +106,8 @@
 	}
 }
 
-// settle ends the rewrite time when it has passed. It returns the changes of what is in force.
-// Current returns the store's item of a key.
+// settle ends the rewrite time when it has passed. It returns the changes of what is in force;
+// removed items have the value that they had. Current returns the store's item of a key.
 func (r *restoration) settle(now time.Time, current func(key string) (Item, bool)) []Item {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,7 +123,8 @@
 		}
 		after, ok := r.decideLocked(key, item)
 		if !ok {
-			after = Item{Key: key, Revision: before.Revision, Removed: true}
+			after = before
+			after.Removed = true
 		}
 		if after.Removed != before.Removed || !bytes.Equal(after.Value, before.Value) && !after.Removed {
 			changes = append(changes, after)
@@ -121,11 +140,11 @@
 	return r.began.Add(rewriteTime), !r.began.IsZero() && !r.settled
 }
 
-// seen reports whether this run of the instance has seen a restore.
-func (r *restoration) seen() bool {
+// beganAt returns when the current era was first read, or zero before the first restore.
+func (r *restoration) beganAt() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.began.IsZero()
+	return r.began
 }
 
 // state returns what is held, to be sent to other instances, or nil before the first restore.
@@ -135,7 +154,7 @@
 	if r.began.IsZero() {
 		return nil
 	}
-	state := &RestoreState{Ago: max(now.Sub(r.began), time.Millisecond), FreshFrom: r.freshFrom}
+	state := &RestoreState{Ago: max(now.Sub(r.began), time.Millisecond), EraBefore: r.eraBefore, FreshFrom: r.freshFrom}
 	for _, item := range r.earlier {
 		state.Earlier = append(state.Earlier, item)
 	}
@@ -176,10 +195,19 @@
 	// If the copy includes the revision of the held item, a later one is newer. If not, all
 	// revisions after it were assigned after the restore, and so was this one if the values
 	// differ.
-	if current.Revision > held.Revision || current.Revision >= r.freshFrom || current.Revision == held.Revision && !held.Removed {
+	if current.Revision >= r.freshFrom || current.Revision == held.Revision && !held.Removed {
 		return true
 	}
-	old, next := r.entry(held), r.entry(current)
+	return r.isNewer(held, current)
+}
+
+// isNewer reports whether an item is certainly newer than what is held: it has a higher revision,
+// or it names a run of a server that has started later.
+func (r *restoration) isNewer(held, item Item) bool {
+	if item.Revision > held.Revision {
+		return true
+	}
+	old, next := r.entry(held), r.entry(item)
 	return old != nil && next != nil && old.Started > 0 && next.Started > old.Started
 }
 
--- a/pkg/feed/tableconfirmer.go
+++ b/pkg/feed/tableconfirmer.go
@@ -44,8 +44,8 @@
 	viewAge func() time.Duration
 	// era returns the era of the view, 0 if unknown.
 	era func() int64
-	// unconfirmed reports whether no confirmation holds, however recent.
-	unconfirmed func() bool
+	// confirmable reports whether a confirmation as of a time holds.
+	confirmable func(asOf time.Time) bool
 
 	confirmed confirmation // of the table alone
 	inFlight  singleflight.Group
@@ -56,10 +56,12 @@
 
 // age returns the time since the store has confirmed the table.
 func (c *tableConfirmer) age() time.Duration {
-	if c.unconfirmed() {
+	now := c.now()
+	age := min(c.confirmed.age(now), c.viewAge())
+	if !c.confirmable(now.Add(-age)) {
 		return unconfirmedAge
 	}
-	return min(c.confirmed.age(c.now()), c.viewAge())
+	return age
 }
 
 // byAnyone confirms the table by the zone's reader, a standby reader in its place, or at last
--- a/pkg/feed/watchcache.go
+++ b/pkg/feed/watchcache.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// rememberRemoved records that items which were held after a restore are no longer used, unless
+// the store lists them.
+func (c *watchCache) rememberRemoved(items []Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, item := range items {
+		if _, listed := c.items[item.Key]; item.Removed && !listed {
+			c.rememberRemovedLocked(item, item.Revision)
+		}
+	}
+}
+
 // rememberRemovedLocked records the removal of an item at a revision.
 func (c *watchCache) rememberRemovedLocked(item Item, revision int64) {
 	item.Removed, item.Revision = true, revision
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -171,7 +171,7 @@
 	if m == nil {
 		return nil
 	}
-	state := &feed.RestoreState{Ago: fromMilliseconds(m.GetAgoMs()), FreshFrom: m.GetFreshFrom()}
+	state := &feed.RestoreState{Ago: fromMilliseconds(m.GetAgoMs()), EraBefore: max(m.GetEraBefore(), 0), FreshFrom: m.GetFreshFrom()}
 	for _, item := range m.GetEarlier() {
 		state.Earlier = append(state.Earlier, itemFromProto(item))
 	}
@@ -186,7 +186,7 @@
 	if state == nil {
 		return nil
 	}
-	m := &peeringpb.Restore{AgoMs: toMilliseconds(state.Ago), FreshFrom: state.FreshFrom}
+	m := &peeringpb.Restore{AgoMs: toMilliseconds(state.Ago), EraBefore: state.EraBefore, FreshFrom: state.FreshFrom}
 	for _, item := range state.Earlier {
 		m.Earlier = append(m.Earlier, itemToProto(item))
 	}
