--- a/pkg/feed/era_test.go
+++ b/pkg/feed/era_test.go
@@ -188,24 +188,58 @@
 	return followedPeer{followed: (*z.others)[rand.IntN(len(*z.others))]}
 }
 
+// startZone starts a reader, a standby reader and many instances that follow them.
+func startZone(ctx context.Context, store *fakeStore, readersStore Store, instances int) (followers []*Follower) {
+	reader, standby := startFollower(ctx, readersStore, noPeers{}), startFollower(ctx, readersStore, noPeers{})
+	<-reader.Ready()
+	<-standby.Ready()
+	others := &[]*Follower{}
+	for range instances {
+		zone := largeZone{readerWithStandby{onePeer{followed: reader}, standby}, instances}
+		f := startFollower(ctx, store, mixedZone{zone, others})
+		<-f.Ready()
+		followers = append(followers, f)
+	}
+	*others = followers
+	return followers
+}
+
+// A drill in a zone with many instances, whose reader is not followed for a while after the outage.
+// Guards against instances that learn of the restore much later than their reader, and use
+// until then what it has released.
+func TestMostInstancesLearnOfARestoreSoon(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		const instances = 100
+		store.restore(store.copy())
+		followers := startZone(ctx, store, store, instances)
+		time.Sleep(3 * time.Second)
+		copied := store.copy()
+		store.write("server/a", "")
+		store.setDown(true)
+		time.Sleep(time.Second)
+		store.restore(copied)
+		store.setDown(false)
+		time.Sleep(rewriteTime)
+		inEra := 0
+		for _, f := range followers {
+			if f.era.Load() == 2 {
+				inEra++
+			}
+		}
+		t.Logf("%d instances in the new era", inEra)
+		// At least 68 in 200 runs; at most 22 in 50 when none asks the reader meanwhile.
+		assert.Assert(t, inEra >= instances/2, "%d instances in the new era", inEra)
+	})
+}
+
 // A drill in a zone with many instances, after which the store still refuses the zone's reader and
 // standby reader for a while. Guards against complete reads of the store whose number grows
 // with the instances, and against instances that stay in the old era.
 func TestCompleteReadsInADrillDoNotGrowWithTheZone(t *testing.T) {
 	simulate(t, func(ctx context.Context, store *fakeStore) {
-		const instances = 100
 		store.restore(store.copy())
 		readersStore := &refusingStore{fakeStore: store}
-		reader, standby := startFollower(ctx, readersStore, noPeers{}), startFollower(ctx, readersStore, noPeers{})
-		<-reader.Ready()
-		<-standby.Ready()
-		var followers []*Follower
-		for range instances {
-			zone := largeZone{readerWithStandby{onePeer{followed: reader}, standby}, instances}
-			f := startFollower(ctx, store, mixedZone{zone, &followers})
-			<-f.Ready()
-			followers = append(followers, f)
-		}
+		followers := startZone(ctx, store, readersStore, 100)
 		copied := store.copy()
 		store.write("server/a", "")
 		time.Sleep(propagationTime)
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -41,6 +41,7 @@
 	consecutiveFailures int       // calls failed in a row, to any source
 	storeFailures       int       // calls to the store failed in a row
 	skipReaderUntil     time.Time // the zone's reader is not followed before
+	readerAnswers       bool      // but has lost the store
 	failedStandbys      int       // standby readers that failed since the reader did
 	skipNextWait        bool      // the next watch of the store returns at once
 	storeRetryAt        time.Time // the store is not called before
@@ -137,19 +138,38 @@
 		}
 		return chosenSource{Source: f.store, id: "store", isStore: true, wait: wait}, true
 	}
-	if other := f.sources.Any(); other != nil {
+	if other := l.otherSource(); other != nil {
 		return chosenSource{Source: other, id: other.ID(), wait: min(peerWatchWait, l.storeRetryAt.Sub(now))}, true
 	}
 	return chosenSource{}, false
 }
 
+// otherSource returns another instance to ask while the store fails. Where the store can be
+// restored, that is the zone's reader in half of the calls if it answers but has lost the store: it
+// is among the first that read the new era. After an outage of 1 s in a zone of 100 instances, the
+// median one had read it 0.7 s later (three runs), and 3.5 to 4 s when all asked random ones only.
+func (l *followLoop) otherSource() PeerSource {
+	sources := l.follower.sources
+	if l.position.Era > 0 && l.readerAnswers && l.follower.clock.random(2) == 0 {
+		if reader := sources.Reader(); reader != nil {
+			return reader
+		}
+	}
+	return sources.Any()
+}
+
 func (l *followLoop) fetch(ctx context.Context, source chosenSource) (Batch, error) {
 	if source.isStore {
 		l.follower.calls.countFetch(l.synced)
 	}
 	if !l.synced {
 		l.follower.fullReads.count(l.readCause)
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		timeout := readTimeout
+		if at, ok := l.follower.restored.settlesAt(); ok {
+			// A read that hangs must not prolong the time for which items are held.
+			timeout = min(timeout, max(at.Sub(l.follower.clock.now()), 0)+watchGrace)
+		}
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return source.Read(ctx)
 	}
@@ -278,6 +298,8 @@
 		// The first watch of the store returns at once and only confirms the view, for the
 		// instances that follow this one in place of the reader.
 		l.skipReaderUntil, l.skipNextWait = now.Add(readerBackoff), true
+		stale := (*StaleViewError)(nil)
+		l.readerAnswers = errors.As(err, &stale)
 		return peerPause
 	}
 	l.failedStandbys++
