--- a/pkg/feed/era_test.go
+++ b/pkg/feed/era_test.go
@@ -263,3 +263,28 @@
 		assert.Assert(t, store.readCount()-before <= 12, "%d complete reads", store.readCount()-before)
 	})
 }
+
+// A platform without eras restores its store. Guards against complete reads without end, which
+// a revision above that of the store would cause, and against what was seen being undone.
+func TestRestoreWithoutErasIsFollowed(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		store.statedEra = func(int64) int64 { return 0 }
+		f := startFollower(ctx, store, noPeers{})
+		<-f.Ready()
+		copied := store.copy()
+		store.write("table", "2")
+		store.write("server/a", "")
+		store.write("server/c", "live")
+		time.Sleep(propagationTime)
+		store.restore(copied)
+		time.Sleep(propagationTime)
+		assert.Equal(t, usableServers(f), "b c")
+		time.Sleep(time.Minute)
+		assert.Equal(t, usableServers(f), "b")
+		assert.Equal(t, f.Table().Version(), int64(2))
+		store.write("server/d", "live")
+		time.Sleep(propagationTime)
+		assert.Equal(t, usableServers(f), "b d")
+		assert.Equal(t, store.readCount(), 2)
+	})
+}
