--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -25,6 +25,9 @@
 	maxReplyDelay = 500 * time.Millisecond
 )
 
+// maxLoggedEras bounds the log lines about eras that have ended, in one run.
+const maxLoggedEras = 16
+
 // followLoop is the state of the loop that follows the store or another instance. Only
 // one goroutine uses it.
 type followLoop struct {
@@ -337,7 +340,7 @@
 // such era once.
 func (l *followLoop) handlePastEra(err *EraPastError) time.Duration {
 	f := l.follower
-	if !l.loggedEras[err.Era] {
+	if !l.loggedEras[err.Era] && len(l.loggedEras) < maxLoggedEras {
 		if l.loggedEras == nil {
 			l.loggedEras = make(map[int64]bool)
 		}
