feed: no calls to confirm a table that nobody can confirm after a restore

Cause: during the 2 s after a restore each request without a route at a reader read the table from the store, although no answer counts. Change: such requests are refused at once.

--- a/pkg/feed/era_test.go
+++ b/pkg/feed/era_test.go
@@ -42,8 +42,11 @@
 		time.Sleep(rewriteTime - propagationTime)
 		assert.Equal(t, f.Table().Version(), int64(2))
 		assert.Equal(t, usableServers(f), "b c")
+		calls := store.callCount()
 		_, confirmed := f.Confirm(ctx)
 		assert.Assert(t, !confirmed)
+		assert.Equal(t, f.ConfirmTable(ctx, 1).Age, unconfirmedAge)
+		assert.Equal(t, store.callCount(), calls, "calls that cannot confirm the table")
 		time.Sleep(2 * propagationTime)
 		assert.Equal(t, usableServers(f), "b")
 		for _, server := range f.directory.LastResort("s") {
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -133,6 +133,9 @@
 	if f.confirmer.age() < maxConfirmedAge {
 		return f.Table(), true
 	}
+	if !f.tableConfirmable(f.clock.now()) {
+		return f.Table(), false // no answer of anyone could change that
+	}
 	err := f.confirmer.byAnyone(ctx)
 	return f.Table(), err == nil && f.confirmer.age() < maxConfirmedAge
 }
@@ -145,7 +148,7 @@
 	if f.Table() == nil {
 		return TableReply{Age: unconfirmedAge}
 	}
-	if f.confirmer.age() >= maxAgeForPeers {
+	if f.confirmer.age() >= maxAgeForPeers && f.tableConfirmable(f.clock.now()) {
 		_ = f.confirmer.byStore(ctx) // the reply's age shows a failure
 	}
 	// The age comes first: a table that arrives after it is at least as new.
