--- a/pkg/feed/era_test.go
+++ b/pkg/feed/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"strings"
@@ -291,3 +292,33 @@
 		assert.Equal(t, store.readCount(), 2)
 	})
 }
+
+// Guards against changes of one era that are given to an instance in another one, and against an
+// instance of an older build, which states no era, that gets none.
+func TestChangesForAnInstanceInAnotherEra(t *testing.T) {
+	cache := newWatchCache()
+	cache.replace(Batch{Position: Position{Era: 2, Revision: 10}}, time.Time{})
+	cache.add([]Item{{Key: "k", Revision: 11}}, 11, time.Time{})
+	for name, c := range map[string]struct {
+		after   Position
+		changes int
+		gone    bool
+	}{
+		"same era":    {Position{Era: 2, Revision: 10}, 1, false},
+		"older era":   {Position{Era: 1, Revision: 10}, 0, true},
+		"newer era":   {Position{Era: 3, Revision: 5}, 0, false},
+		"older build": {Position{Revision: 10}, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, _, err := cache.waitForChanges(context.Background(), c.after, time.Hour, nil)
+			assert.Equal(t, len(b.Items), c.changes)
+			var gone *HistoryGoneError
+			assert.Equal(t, errors.As(err, &gone), c.gone)
+			if c.gone {
+				assert.Equal(t, gone.Era, int64(2))
+			} else {
+				assert.Equal(t, b.Position, Position{Era: 2, Revision: 11})
+			}
+		})
+	}
+}
