--- a/pkg/feed/fakes_test.go
+++ b/pkg/feed/fakes_test.go
@@ -25,6 +25,8 @@
 	mu           sync.Mutex
 	down         bool
 	calls        int
+	reads        int                   // complete reads, among the calls
+	statedEra    func(era int64) int64 // nil states the true one
 	lastRevision int64
 	tables       []tableWrite // oldest first
 }
@@ -37,7 +39,7 @@
 
 func newFakeStore() *fakeStore {
 	s := &fakeStore{cache: newWatchCache()}
-	s.cache.replace(Batch{})
+	s.cache.replace(Batch{}, time.Time{})
 	return s
 }
 
@@ -46,7 +48,7 @@
 	s.lastRevision++
 	item := Item{Key: key, Value: []byte(value), Revision: s.lastRevision, Removed: value == ""}
 	s.mu.Unlock()
-	s.cache.add([]Item{item}, item.Revision)
+	s.cache.add([]Item{item}, item.Revision, time.Time{})
 }
 
 func (s *fakeStore) writeTable(version int64) {
@@ -69,11 +71,41 @@
 	return version
 }
 
+// restore starts the next era with a copy that all has returned.
+func (s *fakeStore) restore(copied Batch) {
+	s.mu.Lock()
+	s.lastRevision = copied.Position.Revision
+	s.mu.Unlock()
+	copied.Position.Era = s.cache.position.Era + 1
+	s.cache.replace(copied, time.Time{})
+}
+
+func (s *fakeStore) copy() Batch {
+	b, _, _ := s.cache.all()
+	return b
+}
+
+func (s *fakeStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
+// state sets the era that an answer states.
+func (s *fakeStore) state(b Batch) Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.statedEra != nil {
+		b.Position.Era = s.statedEra(b.Position.Era)
+	}
+	return b
+}
+
 // dropHistory discards all past changes, as the store does after a while.
 func (s *fakeStore) dropHistory() {
 	s.cache.mu.Lock()
 	defer s.cache.mu.Unlock()
-	s.cache.changesFrom = s.cache.revision
+	s.cache.changesFrom = s.cache.position.Revision
 	s.cache.changes = nil
 }
 
@@ -103,20 +135,29 @@
 	if err := s.call(); err != nil {
 		return Batch{}, err
 	}
-	b, _ := s.cache.all()
-	return b, nil
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	return s.state(s.copy()), nil
 }
 
-func (s *fakeStore) ReadTable(ctx context.Context) (Batch, error) {
-	b, err := s.Read(ctx)
-	return b, err
+func (s *fakeStore) ReadTable(context.Context) (Batch, error) {
+	if err := s.call(); err != nil {
+		return Batch{}, err
+	}
+	return s.state(s.copy()), nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (s *fakeStore) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	if err := s.call(); err != nil {
 		return Batch{}, err
 	}
-	return s.cache.waitForChanges(ctx, after, wait, nil)
+	if after.Revision > s.copy().Position.Revision {
+		return Batch{}, &HistoryGoneError{Era: s.state(s.copy()).Position.Era}
+	}
+	after.Era = 0 // the store answers by the revision alone
+	b, _, err := s.cache.waitForChanges(ctx, after, wait, nil)
+	return s.state(b), err
 }
 
 // fakeDecoder decodes the format of fakeStore.
@@ -219,7 +260,7 @@
 	return b, nil
 }
 
-func (p followedPeer) Watch(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (p followedPeer) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	return p.followed.ChangesAfter(ctx, after, wait)
 }
 
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -1,10 +1,10 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,13 +45,20 @@
 	decoder   Decoder
 	directory *directory.Directory
 	logger    *slog.Logger
+	clock     clock
 	cache     *watchCache
 
 	table     atomic.Pointer[tableInForce]
 	confirmed confirmation // of the whole view
-	confirmer *tableConfirmer
-	calls     StoreCalls
-	rejected  *rejections
+	restored  restoration
+	// storeTable is the version of the store's table, which is older than the one in force
+	// after a restore until the operator has published again.
+	storeTable atomic.Int64
+	era        atomic.Int64 // of the view; 0 is unknown
+	fullReads  FullReads
+	confirmer  *tableConfirmer
+	calls      StoreCalls
+	rejected   *rejections
 
 	mu        sync.Mutex // serializes changes of table, ready and storeLost
 	ready     chan struct{}
@@ -66,19 +73,28 @@
 		decoder:   decoder,
 		directory: d,
 		logger:    logger,
+		clock:     systemClock(),
 		cache:     newWatchCache(),
 		rejected:  newRejections(logger),
 		ready:     make(chan struct{}),
 		storeLost: make(chan struct{}),
 	}
+	f.restored.decoder = decoder
 	f.confirmer = &tableConfirmer{
 		store:   store,
 		sources: sources,
 		logger:  logger,
 		calls:   &f.calls,
+		now:     func() time.Time { return f.clock.now() },
 		current: f.Table,
-		adopt:   func(item Item, origin string) { f.adoptTable(item, f.decoder.Decode(item).Table, origin) },
-		viewAge: f.Age,
+		adopt: func(item Item, origin string) *routing.Table {
+			table := f.decoder.Decode(item).Table
+			f.adoptTable(item, table, origin)
+			return table
+		},
+		viewAge:     f.Age,
+		era:         f.era.Load,
+		confirmable: f.tableConfirmable,
 	}
 	return f
 }
@@ -103,12 +119,15 @@
 // Rejected returns how many revisions of items could not be decoded.
 func (f *Follower) Rejected() int64 { return f.rejected.count.Load() }
 
+// FullReads returns the numbers of complete reads.
+func (f *Follower) FullReads() *FullReads { return &f.fullReads }
+
 // Ready returns a channel that is closed once the table and the list of backend servers
 // have been read.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
 
 // Age returns the time since the store last confirmed the view.
-func (f *Follower) Age() time.Duration { return f.confirmed.age() }
+func (f *Follower) Age() time.Duration { return f.confirmed.age(f.clock.now()) }
 
 // Confirm returns the newest known table and whether the store has confirmed it within
 // maxConfirmedAge. If it has not, Confirm asks the zone's reader or the store.
@@ -119,6 +138,9 @@
 	if f.confirmer.age() < maxConfirmedAge {
 		return f.Table(), true
 	}
+	if !f.tableConfirmable(f.clock.now()) {
+		return f.Table(), false // no answer of anyone could change that
+	}
 	err := f.confirmer.byAnyone(ctx)
 	return f.Table(), err == nil && f.confirmer.age() < maxConfirmedAge
 }
@@ -131,11 +153,11 @@
 	if f.Table() == nil {
 		return TableReply{Age: unconfirmedAge}
 	}
-	if f.confirmer.age() >= maxAgeForPeers {
+	if f.confirmer.age() >= maxAgeForPeers && f.tableConfirmable(f.clock.now()) {
 		_ = f.confirmer.byStore(ctx) // the reply's age shows a failure
 	}
 	// The age comes first: a table that arrives after it is at least as new.
-	reply := TableReply{Age: f.confirmer.age()}
+	reply := TableReply{Age: f.confirmer.age(), Era: f.era.Load()}
 	current := f.table.Load()
 	reply.Version = current.Version()
 	if reply.Version > version {
@@ -216,18 +238,18 @@
 	// Zones are drained before their servers are listed, and return after that, so that
 	// no server of a drained zone is in use in between.
 	for _, zone := range drainedZones {
-		f.logZoneChange(f.directory.DrainZone(zone), b.Revision)
+		f.logZoneChange(f.directory.DrainZone(zone), b.Position.Revision)
 	}
 	for _, change := range f.directory.Replace(entries) {
-		f.logChange(change, b.Revision)
+		f.logChange(change, b.Position.Revision)
 	}
 	for _, change := range f.directory.ReturnOtherZones(drainedZones) {
-		f.logZoneChange(&change, b.Revision)
+		f.logZoneChange(&change, b.Position.Revision)
 	}
 	// The table comes last: requests that wait for it need the backend servers as well.
 	f.adoptTable(tableItem, table, origin)
 	staying, leaving := f.directory.Count()
-	f.logger.Info("store read", "origin", origin, "revision", b.Revision, "backend_servers", staying, "leaving", leaving)
+	f.logger.Info("store read", "origin", origin, "era", b.Position.Era, "revision", b.Position.Revision, "backend_servers", staying, "leaving", leaving)
 }
 
 // applyChanges puts changed items in force.
@@ -293,10 +315,10 @@
 	}
 }
 
-func backoff(failures int) time.Duration {
+func (c clock) backoff(failures int) time.Duration {
 	delay := min(initialBackoff<<min(failures-1, 6), maxBackoff)
 	// Half of the delay is random, so that the instances do not call at the same time.
-	return delay/2 + rand.N(delay/2)
+	return delay/2 + c.random(delay/2)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -311,26 +333,100 @@
 // AllItems returns all items that this instance knows, to be sent to another instance.
 // It returns false before the first complete read.
 func (f *Follower) AllItems() (Batch, bool) {
-	b, ok := f.cache.all()
-	b.Age = f.Age()
+	b, confirmed, ok := f.cache.all()
+	now := f.clock.now()
+	b.Age = viewAge(now, confirmed)
+	b.Restored = f.restored.state(now)
+	if b.Restored != nil && f.storeTableIsOlder() {
+		b.Restored.Table = &f.table.Load().item
+	}
 	return b, ok
 }
 
-// ChangesAfter returns the changes after a revision, to be sent to another instance.
+// ChangesAfter returns the changes after a position, to be sent to another instance.
 // While this instance has lost the store, ChangesAfter returns at once with a stale age,
 // so that the followers of this instance change to another source.
-func (f *Follower) ChangesAfter(ctx context.Context, after int64, wait time.Duration) (Batch, error) {
+func (f *Follower) ChangesAfter(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
 	f.mu.Lock()
 	storeLost := f.storeLost
 	f.mu.Unlock()
-	b, err := f.cache.waitForChanges(ctx, after, wait, storeLost)
-	b.Age = f.Age()
+	b, confirmed, err := f.cache.waitForChanges(ctx, after, wait, storeLost)
+	b.Age = f.ageForPeers(confirmed, storeLost)
+	return b, err
+}
+
+// ageForPeers returns the age of a view that is sent to another instance: a stale one while
+// this instance has lost the store.
+func (f *Follower) ageForPeers(confirmed time.Time, storeLost <-chan struct{}) time.Duration {
+	age := viewAge(f.clock.now(), confirmed)
 	select {
 	case <-storeLost:
-		b.Age = max(b.Age, maxPeerViewAge+time.Millisecond)
+		return max(age, maxPeerViewAge+time.Millisecond)
 	default:
+		return age
 	}
-	return b, err
+}
+
+// viewAge returns the age of a view that was confirmed as of a time, which is zero before the
+// first confirmation.
+func viewAge(now, confirmed time.Time) time.Duration {
+	if confirmed.IsZero() {
+		return unconfirmedAge
+	}
+	return now.Sub(confirmed)
+}
+
+// tableConfirmable reports whether a confirmation of the table in force as of a time holds. It
+// does not if the store had been restored and its writers had not had the time to write again, or
+// if the store's table is older.
+func (f *Follower) tableConfirmable(asOf time.Time) bool {
+	began := f.restored.beganAt()
+	return began.IsZero() || !asOf.Before(began.Add(rewriteTime)) && !f.storeTableIsOlder()
+}
+
+func (f *Follower) storeTableIsOlder() bool {
+	table := f.Table()
+	return table != nil && f.storeTable.Load() < table.Version()
+}
+
+// observeStoreTable records the version of the store's table, and puts the table in force if it is
+// newer although an earlier one is held after a restore. Complete tells whether the items are all
+// items of the store.
+func (f *Follower) observeStoreTable(items []Item, complete bool, origin string) {
+	current := f.table.Load()
+	if current == nil {
+		return
+	}
+	if complete {
+		f.storeTable.Store(0)
+	}
+	for _, item := range items {
+		if item.Key != current.item.Key {
+			continue
+		}
+		if bytes.Equal(item.Value, current.item.Value) {
+			f.storeTable.Store(current.Version())
+		} else if table := f.decoder.Decode(item).Table; table != nil {
+			f.storeTable.Store(table.Version())
+			f.adoptTable(item, table, origin)
+		}
+	}
+}
+
+// settle ends the time for which items are held after a restore.
+func (f *Follower) settle(now time.Time) {
+	changes := f.restored.settle(now, f.cache.item)
+	if len(changes) == 0 {
+		return
+	}
+	f.cache.rememberRemoved(changes)
+	f.applyChanges(changes, "restore")
+	for _, item := range changes {
+		if id := f.decoder.Decode(item).ServerID; item.Removed && id != "" {
+			f.directory.Forget(id)
+		}
+	}
+	f.logger.Info("items held after a restore of the store released", "items", len(changes), "era", f.era.Load())
 }
 
 // setStoreLost records whether the store does not answer this instance.
--- a/pkg/feed/tableconfirmer_test.go
+++ b/pkg/feed/tableconfirmer_test.go
@@ -124,8 +124,9 @@
 			return TableReply{}, ctx.Err()
 		}
 		confirmer := &tableConfirmer{
-			store: store, sources: failingConfirmer{confirm: confirm}, logger: slog.New(slog.DiscardHandler), calls: &StoreCalls{},
-			current: func() *routing.Table { return routing.NewTable(1, nil, nil, routing.Limits{}) }, adopt: func(Item, string) {}, viewAge: func() time.Duration { return unconfirmedAge },
+			store: store, sources: failingConfirmer{confirm: confirm}, logger: slog.New(slog.DiscardHandler), calls: &StoreCalls{}, now: time.Now,
+			current: func() *routing.Table { return routing.NewTable(1, nil, nil, routing.Limits{}) }, adopt: func(Item, string) *routing.Table { return nil }, viewAge: func() time.Duration { return unconfirmedAge },
+			era: func() int64 { return 0 }, confirmable: func(time.Time) bool { return true },
 		}
 		for end := time.Now().Add(2 * readerBackoff); time.Now().Before(end); time.Sleep(unknownPathInterval) {
 			assert.NilError(t, confirmer.byAnyone(ctx))
