--- a/pkg/backend/exchange.go
+++ b/pkg/backend/exchange.go
@@ -66,11 +66,7 @@
 	if err := writeRequest(conn, req); err != nil {
 		return nil, err
 	}
-	resp, err := http.ReadResponse(conn.reader, req)
-	if err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(resp.Body)
+	resp, body, err := readReply(conn, req.Method)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/backend/forward.go
+++ b/pkg/backend/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -138,25 +137,6 @@
 	return nil, nil, invalidReply("replies to other calls", nil)
 }
 
-// readReply reads the next reply with its body, skipping informational (1xx)
-// replies.
-func readReply(conn *connection, method string) (*http.Response, []byte, error) {
-	for {
-		resp, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, nil, err
-		}
-		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
-			continue
-		}
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return nil, nil, err
-		}
-		return resp, body, nil
-	}
-}
-
 // newForwardError turns an error that occurred after the first byte may have
 // been written into a ForwardError.
 func newForwardError(ctx context.Context, conn *connection, err error) *ForwardError {
