forward: servers that are down do not count as probes

Only attempts that a server may have run count. TestServersThatAreDownAreNoProbes fails without the change.

--- a/pkg/forward/crashing_test.go
+++ b/pkg/forward/crashing_test.go
@@ -257,3 +257,19 @@
 	}
 	assert.Assert(t, crashed < 2*rounds, "%d servers lost to %d copies in each of %d rounds", crashed, copies, rounds)
 }
+
+// Guards against giving up a request whose parts were all lost at once because the servers that
+// it asked next are down: they have not run it and say nothing about it.
+func TestServersThatAreDownAreNoProbes(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		route := tb.shardedRoute(20, 0.05)
+		for n, service := range route.Shards {
+			tb.setBehaviour(service+".a", crashes)
+			if n > 0 {
+				tb.setBehaviour(service+".b", unreachable)
+			}
+		}
+		answer, _ := tb.ask(background, route)
+		assert.Assert(t, answer.Refusal == nil, "%+v", answer.Refusal)
+	})
+}
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -22,8 +22,8 @@
 	ended       atomic.Bool // the caller has its answer, or the sender its result
 	// reportDue is set when the losses are to be reported after the last attempt has ended.
 	reportDue atomic.Bool
-	// probes counts the attempts that began under suspicion. Only the goroutine of the request
-	// uses it.
+	// probes counts the attempts that began under suspicion and that a server may have run. Only
+	// the goroutine of the request uses it.
 	probes int
 }
 
@@ -167,6 +167,11 @@
 	return !r.isBarred(verdict, now) && !r.servesPeer && r.crashes.probes < maxProbes
 }
 
+// uncountProbe takes back an attempt that no server has run: a server that a crashing request
+// has taken down refuses the connection. Such an attempt runs alone, so that the result of
+// another one cannot be taken for its own.
+func (c *crashSuspicion) uncountProbe() { c.probes = max(c.probes-1, 0) }
+
 // isBarred reports whether the request may not reach any further server, also not with
 // attempts that wait for a connection. Those of a sharded request may be sent for probeTime,
 // since a reply to one of them clears it.
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -50,6 +50,9 @@
 	if !r.mayProbe(verdict, now) {
 		return false
 	}
+	if verdict.Suspected() {
+		s.directOnly = true // a relay that knows of the losses asks no server any more
+	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
 		s.servers = r.engine.directory.Servers(s.service)
--- a/pkg/forward/results.go
+++ b/pkg/forward/results.go
@@ -60,13 +60,16 @@
 			s.forget(res.server.ID) // it may still serve as a last resort
 		}
 		event.Event, event.Detail = "not sent", res.err.Error()
+		r.crashes.uncountProbe()
 	case res.reply == nil:
 		s.mayHaveRun = true
 		event.Event, event.Detail = "no reply", res.err.Error()
 	case res.reply.Misdirected:
 		event.Event = "another server has the address"
+		r.crashes.uncountProbe()
 	case res.reply.NotRun:
 		event.Event = "refused by server"
+		r.crashes.uncountProbe()
 	default:
 		s.mayHaveRun = true
 		event.Event, event.Detail = "failed at server", http.StatusText(res.reply.Status)
