--- a/pkg/forward/crashing_test.go
+++ b/pkg/forward/crashing_test.go
@@ -264,7 +264,10 @@
 	simulate(t, func(t *testing.T, tb *testbed) {
 		route := tb.shardedRoute(20, 0.05)
 		for n, service := range route.Shards {
-			tb.setBehaviour(service+".a", func(context.Context, Call) (*Reply, error) { return nil, connectionLost() })
+			tb.setBehaviour(service+".a", func(ctx context.Context, _ Call) (*Reply, error) {
+				_ = waitFor(ctx, timeToNotice)
+				return nil, connectionLost()
+			})
 			if n < len(route.Shards)-1 {
 				tb.setBehaviour(service+".b", unreachable)
 			}
