forward: bound on the bytes of replies that requests hold

Each reply was bounded by 4 MiB, all together by nothing. They are now bounded by a quarter of the memory: a part beyond it is dropped and its attempt has failed, without a fault of the server; the reply to a request that is not sharded is its answer and always delivered.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -8,6 +8,7 @@
 
 	"github.com/sycamorelift/sycamorelift/pkg/lifecycle"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 )
 
 // relayEventsPerShard bounds the relay events of one shard request. A shard request is in
@@ -43,6 +44,7 @@
 
 	ctx      context.Context // of the attempts
 	cancel   context.CancelFunc
+	replies  *shedding.Lease    // of the replies that the request holds
 	refCount atomic.Int32       // the request itself, its running attempts and its relay calls
 	results  chan attemptResult // buffered for one attempt at each server listed at the start
 
@@ -95,6 +97,7 @@
 	// normally, which keeps its connection usable and measures the server's reply time.
 	r.ctx, r.cancel = context.WithDeadline(context.Background(), r.timing.deadline)
 	r.refCount.Store(1)
+	r.replies = e.replies.Lease(route.Priority <= 0)
 	return r
 }
 
@@ -103,6 +106,7 @@
 func (r *activeRequest) release() {
 	if r.refCount.Add(-1) == 0 {
 		r.cancel()
+		r.replies.Release()
 	}
 }
 
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -21,6 +21,7 @@
 	budget            *retrybudget.Budget
 	weights           *routing.WeightedRoundRobin
 	shedding          *shedding.Policy
+	replies           *shedding.Bytes
 	lateness          *lateShares
 	client            BackendClient
 	zone              string
@@ -51,6 +52,8 @@
 	Relays           Relays
 	Sharing          Sharing
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
+	// Replies bounds the bytes of the replies of servers that requests hold.
+	Replies *shedding.Bytes
 	// OnOverload is called when this instance begins, and when it ceases, to refuse requests
 	// because the servers cannot do the work. It must not block.
 	OnOverload func(active bool)
@@ -67,6 +70,7 @@
 		suspects:         config.Suspects,
 		budget:           config.Budget,
 		weights:          routing.NewWeightedRoundRobin(),
+		replies:          config.Replies,
 		shedding:         shedding.NewPolicy(config.OnOverload),
 		lateness:         newLateShares(),
 		client:           config.Client,
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -309,9 +309,22 @@
 	}
 	tracked.End(outcomeOf(&res, r.ctx.Err()), now)
 	r.engine.shedding.Queue.Wake(call.Server.Service)
+	r.holdReply(&res)
 	deliver(r.ctx, r.results, res)
 }
 
+// holdReply counts the bytes of a reply. A part beyond the bound is dropped; the reply to a
+// request that is not sharded is the answer and is delivered.
+func (r *activeRequest) holdReply(res *attemptResult) {
+	switch {
+	case res.reply == nil:
+	case !r.route.Sharded():
+		r.replies.Add(int64(len(res.reply.Body)))
+	case !r.replies.Grow(int64(len(res.reply.Body))):
+		res.reply, res.err = nil, &CallError{Sent: true, Detail: "no memory for the reply"}
+	}
+}
+
 // deliver sends a value to a channel of the request. It gives up when ctx ends, since the
 // request then no longer reads the channel.
 func deliver[T any](ctx context.Context, to chan<- T, value T) {
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -14,6 +14,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
@@ -42,12 +43,14 @@
 	busy     map[string]time.Time // by server id: until when attempts wait for a connection
 	arrivals []string             // "service server" of each counted request, in order
 	lateness []LatenessChange
+
+	replyBytes int64 // bound on the bytes of replies; set before requests are sent
 }
 
 var testLimits = retrybudget.Limits{Ratio: 0.2, Allowance: 100, Window: 10 * time.Second}
 
 func newTestbed() *testbed {
-	tb := &testbed{servers: map[string]behaviour{}, busy: map[string]time.Time{}, relays: map[string]Relay{}}
+	tb := &testbed{servers: map[string]behaviour{}, busy: map[string]time.Time{}, relays: map[string]Relay{}, replyBytes: 1 << 20}
 	tb.directory = directory.New(3*time.Second, time.Now)
 	tb.budget = retrybudget.New(testLimits, func() float64 { return 1 })
 	tb.engine = tb.newEngine(localZone, tb)
@@ -69,6 +72,7 @@
 		Sharing:          tb,
 		OnLatenessChange: tb.observe,
 		OnOverload:       func(bool) {},
+		Replies:          shedding.NewBytes(func() int64 { return tb.replyBytes }),
 		OnSuspect: func(s suspects.Suspect) {
 			tb.reports.Add(1)
 			for _, other := range tb.suspects {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -157,6 +157,8 @@
 	relays := peering.NewRelays(r.members, r.client)
 	tracker := suspects.NewTracker(r.logSuspect)
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
+	replies := shedding.NewBytes(s.ReplyBytes)
+	r.registry.Func("reply_bytes", func() any { return replies.Held() })
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
 		Tracker:          replicas.New(s.Instance.Zone, r.members, r.logServerChange),
@@ -167,6 +169,7 @@
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
+		Replies:          replies,
 		OnOverload:       r.logOverload,
 		OnSuspect:        r.reporter.Report,
 	})
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -59,6 +59,8 @@
 	// hold. Their bodies are copied once into each message to another instance, and replies,
 	// connections and the list of servers need the rest.
 	requestMemoryShare = 0.25
+	// replyMemoryShare is the share for replies of servers that requests hold.
+	replyMemoryShare = 0.25
 	// answerMemoryShare is the share for answers that callers read slowly.
 	answerMemoryShare = 0.125
 )
@@ -71,6 +73,9 @@
 	return int64(requestMemoryShare * float64(s.Memory))
 }
 
+// ReplyBytes returns the bound on the bytes of the replies that requests hold.
+func (s *Relay) ReplyBytes() int64 { return int64(replyMemoryShare * float64(s.Memory)) }
+
 // AnswerBytes returns the bound on the bytes of answers that are being written.
 func (s *Relay) AnswerBytes() int64 { return int64(answerMemoryShare * float64(s.Memory)) }
 
--- a/pkg/shedding/bytes.go
+++ b/pkg/shedding/bytes.go
@@ -24,11 +24,11 @@
 	return b.held
 }
 
-// Lease is what one request holds of a bound. It is not safe for concurrent use.
+// Lease is what one request holds of a bound. It is safe for concurrent use.
 type Lease struct {
 	bytes  *Bytes
 	urgent bool
-	held   int64
+	held   int64 // guarded by bytes.mu
 }
 
 // Lease returns an empty lease. Urgent requests, those of the highest priority, may use the
@@ -51,6 +51,14 @@
 	return true
 }
 
+// Add adds n bytes that are held already, beyond the bound if need be.
+func (l *Lease) Add(n int64) {
+	l.bytes.mu.Lock()
+	defer l.bytes.mu.Unlock()
+	l.bytes.held += n
+	l.held += n
+}
+
 // Release gives all bytes back.
 func (l *Lease) Release() {
 	l.bytes.mu.Lock()
