--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -25,6 +25,9 @@
 	// probes counts the attempts that began under suspicion and that a server may have run. Only
 	// the goroutine of the request uses it.
 	probes int
+	// probeFrom is when a request in quarantine may begin to ask further servers; zero until it
+	// is drawn. Only the goroutine of the request uses it.
+	probeFrom time.Time
 }
 
 const (
@@ -36,9 +39,9 @@
 	// well below the 4 s after which a crashing request may reach three more servers only.
 	probeTime = time.Second
 
-	// probeSpread is the mean number of polls for capacity that a request in quarantine waits
-	// before it asks a further server.
-	probeSpread = 4
+	// maxProbeDelay bounds the random time that a request in quarantine waits before it asks a
+	// further server.
+	maxProbeDelay = 80 * time.Millisecond
 
 	// maxHoldBack and holdBackShare bound how long a request that is not sharded is held back
 	// when one more loss would quarantine it: the share is one of the route's target. A caller
@@ -171,12 +174,14 @@
 	return !r.isBarred(verdict, now) && !r.servesPeer && r.crashes.probes < maxProbes
 }
 
-// drawsProbe reports whether a waiting shard of a request in quarantine asks a further server now.
-// Time and shard are random: requests that have lost their servers together would otherwise all
-// ask the same next server, and a crashing one among them would take the others down with it
-// again.
-func (r *activeRequest) drawsProbe() bool {
-	return rand.N(probeSpread*len(r.shardRequests)) == 0
+// mayProbeNow reports whether a random delay has passed since a request was quarantined with all its
+// parts lost. Requests that have lost their servers together would otherwise ask further servers at
+// the same moment, and a crashing one among them would take these down under the others.
+func (r *activeRequest) mayProbeNow(now time.Time) bool {
+	if r.crashes.probeFrom.IsZero() {
+		r.crashes.probeFrom = now.Add(rand.N(maxProbeDelay))
+	}
+	return !now.Before(r.crashes.probeFrom)
 }
 
 // uncountProbe takes back an attempt that no server has run: a server that a crashing request
--- a/pkg/forward/wait.go
+++ b/pkg/forward/wait.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -38,7 +39,11 @@
 	if !r.servesPeer && r.answeredShards >= r.route.RequiredShards() && !now.Before(r.timing.cutoff) {
 		return // the answer goes out without the waiting shard requests
 	}
-	for _, s := range r.shardRequests {
+	// The start is random, so that requests that have lost their servers together do not all ask
+	// for the same shard next.
+	start := rand.N(len(r.shardRequests))
+	for n := range r.shardRequests {
+		s := r.shardRequests[(start+n)%len(r.shardRequests)]
 		if s.isComplete() {
 			s.waiting = false // a slower attempt has answered meanwhile
 		}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -168,6 +168,8 @@
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
 	observed := replicas.New(s.Instance.Zone, r.members, r.logServerChange)
 	observed.WarmUps = r.warmUp
+	replies := shedding.NewBytes(s.ReplyBytes)
+	r.registry.Func("reply_bytes", func() any { return replies.Held() })
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
 		Tracker:          observed,
@@ -180,6 +182,7 @@
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
+		Replies:          replies,
 		OnOverload:       r.logOverload,
 		OnSuspect:        r.reporter.Report,
 	})
