zonechoice: the share of first attempts that leaves an availability zone

One factor decided for each attempt whether a server in another zone was better. All instances of a zone with a short queue then left at once, and no measured round trip or cost of the bytes was part of the decision.

The package compares the expected response time in both zones and holds for each service a share that moves in steps with hysteresis, up to what the other zone shows as free.

--- /dev/null
+++ b/pkg/zonechoice/service.go
@@ -0,0 +1,145 @@
+package zonechoice
+
+import "time"
+
+const (
+	// Step is the most that a share moves at once.
+	Step = 0.125
+	// returnStep is the most that a share falls at once while the other zone has free
+	// capacity. Shares that fell as fast as they rise swung between 0.2 and 0.6 in the
+	// simulation of a full zone, which needs 0.3.
+	returnStep = Step / 2
+	// MinInterval and MaxInterval bound the random time between two moves of a share. With
+	// these, a share takes about 2.4 s from 0 to 1, and 4.8 s back, longer than a server is
+	// cold (3 s).
+	MinInterval = 200 * time.Millisecond
+	MaxInterval = 400 * time.Millisecond
+	// leaveGain is the gain, as a share of the usual response time, above which requests
+	// begin to leave. They return when there is no gain any more.
+	leaveGain = 0.25
+	// usualTolerance is how far above the usual response time a zone still counts as being
+	// at it. The estimate of the median varies by about a tenth.
+	usualTolerance = 1.25
+	// fullSlowness is the response time at which another zone has no free capacity, as a
+	// multiple of the usual one. A server with one request waiting reaches it.
+	fullSlowness = 2.0
+	// lossFactor is the weight of lost parts: with one in four lost nothing more is sent.
+	lossFactor = 4.0
+	// zoneTolerance is how much longer than in the best zone, as a share of the usual
+	// response time, the expected response time in a zone may be for the zone to be used
+	// besides. Requests that have to leave then spread over the zones.
+	zoneTolerance = 0.5
+	// firstHoldOff is how long nothing leaves for a zone that was found without free capacity.
+	// The time doubles with each further attempt in vain, up to maxHoldOff. Without it
+	// instances of two full zones would try each other every two seconds, when the
+	// observations of the other zone have become old.
+	firstHoldOff = 2 * time.Second
+	maxHoldOff   = 32 * time.Second
+	// trialPeriod is how long a share has to leave to show that the other zone has free
+	// capacity. One that finds none has returned after about 1.2 s.
+	trialPeriod = 3 * time.Second
+	// idleReset is the time without a request after which a share starts anew.
+	idleReset = 10 * time.Second
+)
+
+// service is the state of one service.
+type service struct {
+	share    float64 // of the requests that leave
+	target   string  // zone that they go to
+	forced   bool    // this zone had no usable server at the last decision
+	nextMove time.Time
+	lastUsed time.Time
+	losses   []losses // by other zone
+
+	holdOff      time.Duration // latest one, 0 after a share that found free capacity
+	heldOffUntil time.Time     // nothing leaves until then
+	leftAt       time.Time     // when the share last began to leave
+
+	// The samples since the last move.
+	samples int
+	gain    float64 // sum, in units of the usual response time
+	free    float64 // sum of the share that the other zone can take
+}
+
+// lossesOf returns the losses of a zone, nil if no part was requested from it.
+func (s *service) lossesOf(zone string) *losses {
+	for i := range s.losses {
+		if s.losses[i].zone == zone {
+			return &s.losses[i]
+		}
+	}
+	return nil
+}
+
+// lossShare returns the share of lost parts of a zone.
+func (s *service) lossShare(zone string, now time.Time) float64 {
+	if l := s.lossesOf(zone); l != nil {
+		return l.get(now)
+	}
+	return 0
+}
+
+// freeShare returns the share of this zone's requests that another zone can take without delay
+// for its own callers.
+func (s *service) freeShare(z *Zone, usual time.Duration, now time.Time) float64 {
+	if z.Full || z.Paused || z.Waits {
+		return 0
+	}
+	free := fullSlowness - float64(z.Expected)/float64(usual)
+	free -= lossFactor * s.lossShare(z.Name, now)
+	return min(max(free, 0), 1)
+}
+
+// sample records the gain of leaving for a zone at one request. A zone at its usual
+// response time gains nothing.
+func (s *service) sample(v *View, z *Zone, total time.Duration, worthwhile bool, now time.Time) {
+	s.samples++
+	gain := float64(v.Here.Expected-total) / float64(v.Usual)
+	if !worthwhile || float64(v.Here.Expected) <= usualTolerance*float64(v.Usual) {
+		gain = min(gain, 0)
+	}
+	s.gain += gain
+	s.free += s.freeShare(z, v.Usual, now)
+}
+
+func (s *service) dropSamples() { s.samples, s.gain, s.free = 0, 0, 0 }
+
+// move returns the share moved by at most Step towards the goal and drops the samples.
+func (s *service) move(now time.Time) float64 {
+	if s.samples == 0 {
+		return s.share
+	}
+	gain, free := s.gain/float64(s.samples), s.free/float64(s.samples)
+	s.dropSamples()
+	least := -returnStep
+	if free < s.share {
+		least = -Step // the other zone's own callers come first
+	}
+	next := s.share + min(max(s.goal(gain, free)-s.share, least), Step)
+	switch {
+	case s.share == 0 && now.Before(s.heldOffUntil):
+		return 0
+	case s.share > 0 && next == 0 && free == 0:
+		s.holdOff = min(max(2*s.holdOff, firstHoldOff), maxHoldOff)
+		s.heldOffUntil = now.Add(s.holdOff)
+	case s.share == 0 && next > 0:
+		s.leftAt = now
+	case s.share > 0 && now.Sub(s.leftAt) > trialPeriod:
+		s.holdOff = 0
+	}
+	return next
+}
+
+// goal returns the share that the gain asks for: none without gain, and more the greater
+// the gain is, up to what the other zone can take. Between the two thresholds a share that
+// leaves is not raised.
+func (s *service) goal(gain, free float64) float64 {
+	switch {
+	case gain <= 0:
+		return 0
+	case gain < leaveGain:
+		return min(s.share, free)
+	default:
+		return min(gain/(gain+1), free)
+	}
+}
