replicas, forward: expected response times decide which requests leave the zone

A server in another zone got its score times two, whatever the round trip is. Replies from there contained the round trip, so that its servers and, in zones without servers, the whole route looked slow.

The tracker now gives pkg/zonechoice the best server of each zone, takes the measured round trip out of the reply times, and compares hedges and retries by expected times. Exchanges and relay calls measure the round trips. All shards of a request use one draw, so that those which leave share a message. A relay sends first attempts out only for senders of its own zone, which the new field same_zone tells; without it, as from older instances, it sends none out. zone_traffic {adaptive: false} restores the factor.

With the factor in place of the decision fail TestZoneFullSendsOutAShare (35 of the first 60 requests leave), TestRoundTripIsNoSlowness (48 ms instead of 20), TestHedgeGoesWhereItIsSooner, TestShardsLeaveAFullZoneInOneMessage, TestRelayOfAFullZoneSendsNothingOn and TestRoundTripDelaysTheHedge. relay_test.go counts calls atomically, since the new test has several at a time.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -51,6 +51,10 @@
 	mergedBodies [][]byte        // merged parts that relays have sent
 	relayZone    string          // zone whose relay gets the shards without a server in this zone
 
+	// zoneDraw decides with the share of a service whether its first attempt leaves this
+	// zone. It is the same for all shards, so that those which leave share a message.
+	zoneDraw float64
+
 	wakeAt time.Time // time at which loop wakes up even without an event; zero means never
 
 	maxMissingShare  float64 // share of shards that an answer may lack, 0 to 1
@@ -70,6 +74,7 @@
 		crashes:        newCrashSuspicion(e, request),
 		timing:         newTiming(route, request, e.latencyEstimate(route)),
 		shardRequests:  make([]*shardRequest, len(services)),
+		zoneDraw:       e.tracker.DrawZone(route.Name),
 	}
 	servers := 0
 	for i, service := range services {
--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -110,7 +110,7 @@
 	unavailable := 0
 	var limited []time.Duration // how much longer than allowed the rate limits of shards delay
 	for _, s := range r.shardRequests {
-		choice, ok := r.choose(s, now)
+		choice, ok := r.choose(s, first, now)
 		switch {
 		case r.route.Sharded() && (!ok || choice.Ejected):
 			unavailable++
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -47,7 +47,7 @@
 		// Servers may have begun to leave since the request arrived.
 		s.servers = r.engine.directory.Servers(s.service)
 	}
-	choice, ok := r.choose(s, now)
+	choice, ok := r.choose(s, why, now)
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
 		return false
 	}
@@ -86,9 +86,11 @@
 	if !s.countedInBudget {
 		s.countedInBudget = true
 		if zone, relay := r.relayFor(s, choice.Server, why); relay != nil {
+			r.engine.tracker.RecordFirst(zone, now)
 			r.enqueue(s, zone, relay, false, now)
 			return
 		}
+		r.engine.tracker.RecordFirst(choice.Server.Zone, now)
 		r.engine.budget.CountRequest(s.service, now)
 	}
 	r.sendAttempt(s, choice, now)
@@ -223,8 +225,17 @@
 
 // choose selects the server for the next attempt. It prefers servers that stay over those
 // that are leaving.
-func (r *activeRequest) choose(s *shardRequest, now time.Time) (replicas.Choice, bool) {
-	choice, ok := r.engine.tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+func (r *activeRequest) choose(s *shardRequest, why purpose, now time.Time) (replicas.Choice, bool) {
+	var choice replicas.Choice
+	var ok bool
+	switch why {
+	case first:
+		choice, ok = r.engine.tracker.ChooseFirst(s.servers, r.route.Name, r.zoneDraw, s.wasTried, now)
+	case hedge:
+		choice, ok = r.engine.tracker.ChooseHedge(s.servers, r.route.Name, s.wasTried, now)
+	default:
+		choice, ok = r.engine.tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+	}
 	if ok {
 		return choice, true
 	}
@@ -238,7 +249,8 @@
 	s.inFlight++
 	state := &runstate.State{}
 	s.sending = append(s.sending, state)
-	s.lastStarted = now
+	// The hedge delay is for the work of the server.
+	s.lastStarted = now.Add(r.engine.tracker.RoundTrip(server))
 	r.trace.Attempts++
 	r.refCount.Add(1)
 	due := r.timing.usefulUntil(r.route, now)
@@ -294,6 +306,7 @@
 	res.expired = r.route.Sharded() && reply != nil && !reply.success() && !reply.Misdirected && !now.Before(call.Until)
 	if reply != nil && !reply.Misdirected {
 		tracked.Observe(reply.Notice, now)
+		r.engine.tracker.RecordExchange(r.route.Name, exchangeBytes(r.request, reply))
 		if reply.Notice.Leaving {
 			r.engine.directory.MarkLeaving(call.Server)
 		}
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -32,6 +32,9 @@
 	r.servesPeer = true
 	r.chargedBySender = call.ChargedBySender
 	r.maxMissingShare = call.MaxMissingShare
+	if !call.SameZone {
+		r.zoneDraw = 1 // a sender in another zone has decided on this one
+	}
 	r.timing.deadline = call.Deadline
 	r.timing.cutoff = call.Cutoff
 	r.timing.grace = relayGrace
--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -44,6 +44,9 @@
 	HedgeAfter      time.Duration // no hedge before this: the sender may still give up the relay
 	ChargedBySender bool          // every attempt is an extra one, charged to the sender's budget
 	Merge           bool          // merge the parts into one body
+	// SameZone is set when the sender is in the relay's zone. The relay then decides which
+	// first attempts leave the zone; a sender in another zone has decided that itself.
+	SameZone bool
 }
 
 // PartsResult holds the parts that have arrived since the previous result.
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 // testRelay is another instance: an engine in the remote zone with the same servers.
 type testRelay struct {
 	engine             *Engine
-	calls              int
+	calls              atomic.Int32
 	failed             int
 	silent             bool // never accepts a call
 	diesAfterAccepting bool // is killed after it has accepted a call
@@ -40,7 +41,7 @@
 func (relay *testRelay) Failed()    { relay.failed++ }
 
 func (relay *testRelay) Gather(ctx context.Context, call *PartsCall, accepted func(), receive func(*PartsResult)) error {
-	relay.calls++
+	relay.calls.Add(1)
 	time.Sleep(oneWay)
 	switch {
 	case relay.refused != nil:
@@ -85,7 +86,7 @@
 		assert.Equal(t, len(answer.Merged.Proofs), 20)
 		assert.Equal(t, len(answer.Merged.Body), 10*16)
 		assert.Equal(t, took, 2*oneWay+work)
-		assert.Equal(t, relay.calls, 1)
+		assert.Equal(t, relay.calls.Load(), int32(1))
 		assert.Equal(t, tb.arrivalCount(), 20)
 	})
 }
@@ -197,7 +198,7 @@
 		var parts []Part
 		assert.Assert(t, tb.engine.Gather(background, call, func(r *PartsResult) { parts = append(parts, r.Parts...) }))
 		assert.Equal(t, len(parts), 5)
-		assert.Equal(t, relay.calls, 0)
+		assert.Equal(t, relay.calls.Load(), int32(0))
 	})
 }
 
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -89,6 +89,7 @@
 		HedgeAfter:      r.acceptanceTimeout() + cancelDelay,
 		ChargedBySender: rc.extra,
 		Merge:           !rc.extra,
+		SameZone:        rc.zone == r.engine.zone,
 	}
 	if rc.extra {
 		call.MaxAttempts = 1
@@ -169,6 +170,7 @@
 			continue
 		}
 		s.inFlight--
+		r.recordRelayed(rc, s, false)
 		s.directOnly = true
 		s.mayHaveRun = s.mayHaveRun || asked > 0
 		if asked == 0 {
@@ -245,6 +247,7 @@
 			continue
 		}
 		s.inFlight--
+		r.recordRelayed(rc, s, true)
 		if s.isComplete() {
 			continue
 		}
@@ -270,6 +273,7 @@
 			continue
 		}
 		s.inFlight--
+		r.recordRelayed(rc, s, false)
 		s.directOnly = true
 		s.arrivals += lost.Arrivals - 1
 		s.mayHaveRun = s.mayHaveRun || lost.MayRun
@@ -282,6 +286,14 @@
 	}
 }
 
+// recordRelayed records whether a zone has delivered a part before the cutoff. Hedges do not
+// count: they start late.
+func (r *activeRequest) recordRelayed(rc *relayCall, s *shardRequest, delivered bool) {
+	if now := time.Now(); !rc.extra {
+		r.engine.tracker.RecordRelayed(s.service, rc.zone, delivered && now.Before(r.timing.cutoff), now)
+	}
+}
+
 // resolve returns the shard request for the first result with this index, and nil for
 // later results and for an index that the call does not have.
 func (rc *relayCall) resolve(index int) *shardRequest {
--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -130,7 +130,11 @@
 // call sends a message and records whether the target answered. It returns nil when
 // there is no reply.
 func (e *Exchanger) call(ctx context.Context, target Member, m *peeringpb.ExchangeMessage) *peeringpb.ExchangeMessage {
+	ctx, elapsed := timed(ctx)
 	reply, err := e.client.Exchange(ctx, target.Address, m)
+	if err == nil {
+		e.members.trips.Record(target.Zone, elapsed())
+	}
 	switch {
 	case target.ID != "":
 		e.members.RecordCall(target.ID, err == nil)
--- a/pkg/peering/members.go
+++ b/pkg/peering/members.go
@@ -37,6 +37,7 @@
 	started time.Time
 	now     func() time.Time
 	logger  *slog.Logger
+	trips   *RoundTrips
 
 	mu          sync.Mutex
 	known       map[string]*memberState
@@ -56,9 +57,12 @@
 
 // NewMembers returns the members of a starting instance, which knows only itself.
 func NewMembers(self Member, now func() time.Time, logger *slog.Logger) *Members {
-	return &Members{self: self, started: now(), now: now, logger: logger, known: make(map[string]*memberState)}
+	return &Members{self: self, started: now(), now: now, logger: logger, trips: newRoundTrips(now), known: make(map[string]*memberState)}
 }
 
+// RoundTrips returns the measured round trips to the zones of the members.
+func (m *Members) RoundTrips() *RoundTrips { return m.trips }
+
 // Self returns this instance as a member.
 func (m *Members) Self() Member {
 	m.mu.Lock()
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -148,7 +148,9 @@
 func (r *relay) Gather(ctx context.Context, call *forward.PartsCall, accepted func(), receive func(*forward.PartsResult)) error {
 	r.relays.addInFlight(r.member.ID, 1)
 	defer r.relays.addInFlight(r.member.ID, -1)
+	ctx, elapsed := timed(ctx)
 	onAccepted := func() {
+		r.relays.members.trips.Record(r.member.Zone, elapsed())
 		r.relays.members.RecordCall(r.member.ID, true)
 		accepted()
 	}
@@ -185,6 +187,7 @@
 		Missable:     float32(call.MaxMissingShare),
 		Extra:        call.ChargedBySender,
 		Merge:        call.Merge,
+		SameZone:     call.SameZone,
 	}
 	for name, values := range request.Header {
 		for _, value := range values {
@@ -226,6 +229,7 @@
 		HedgeAfter:      fromMilliseconds(m.GetHedgeAfterMs()),
 		ChargedBySender: m.GetExtra(),
 		Merge:           m.GetMerge(),
+		SameZone:        m.GetSameZone(),
 	}
 	for _, n := range m.GetConnections() {
 		call.MaxConnections = append(call.MaxConnections, int(n))
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -102,6 +102,7 @@
 		Deadline:        time.Now().Add(time.Second),
 		MaxMissingShare: 0.25,
 		Merge:           true,
+		SameZone:        true,
 	}
 }
 
@@ -125,7 +126,7 @@
 		{call.Request.Header, g.call.Request.Header}, {call.Request.Target, g.call.Request.Target},
 		{call.Request.Body, g.call.Request.Body}, {call.Request.Host, g.call.Request.Host},
 		{call.Services, g.call.Services}, {call.MaxConnections, g.call.MaxConnections},
-		{call.Top, g.call.Top}, {call.MaxAttempts, g.call.MaxAttempts}, {call.Target, g.call.Target}, {call.Merge, g.call.Merge}, {call.MaxMissingShare, g.call.MaxMissingShare},
+		{call.Top, g.call.Top}, {call.MaxAttempts, g.call.MaxAttempts}, {call.Target, g.call.Target}, {call.Merge, g.call.Merge}, {call.MaxMissingShare, g.call.MaxMissingShare}, {call.SameZone, g.call.SameZone},
 	} {
 		assert.DeepEqual(t, same.received, same.sent)
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -156,9 +156,10 @@
 	relays := peering.NewRelays(r.members, r.client)
 	tracker := suspects.NewTracker(r.logSuspect)
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
+	servers := r.newServerTracker()
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
-		Tracker:          replicas.New(s.Instance.Zone, r.members, r.logServerChange),
+		Tracker:          servers,
 		Suspects:         tracker,
 		Budget:           r.budget,
 		Client:           r.sender,
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -94,10 +94,12 @@
 	a.server.age(now)
 	a.server.lastAttemptEnd = now
 	latency := a.tracker.latencyLocked(a.route)
-	ratio := float64(took) / float64(latency.get())
+	serverTime := a.tracker.withoutWay(a.target, took)
+	ratio := float64(serverTime) / float64(latency.get())
 	switch outcome {
 	case Answered:
-		latency.record(took)
+		latency.record(serverTime)
+		latency.usual.observe(latency.get(), now)
 		a.server.recordSlowness(ratio)
 		a.server.recordError(false)
 		a.server.recordSuccess()
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -8,7 +8,8 @@
 
 const (
 	// remoteZoneFactor multiplies the score of servers in other availability zones,
-	// because links between zones are slow and billed by the byte.
+	// because links between zones are slow and billed by the byte. It applies unless
+	// DecideZonesBy is called.
 	remoteZoneFactor = 2
 	// coldSlowness is the least slowness assumed of a server that is warming up.
 	coldSlowness = 1.6
@@ -39,11 +40,21 @@
 	// RateDelay is how long an attempt has to wait for the rate limit that the server names,
 	// as far as this instance's share of it goes; 0 without a limit.
 	RateDelay time.Duration
+
+	base float64 // score without penalties
 }
 
 // Choose returns the candidate with the lowest score that is not excluded, or false if
 // none is usable. Of candidates with equal scores the first one is chosen.
 func (t *Tracker) Choose(candidates []*directory.Server, route string, excluded func(id string) bool, now time.Time) (Choice, bool) {
+	costPerKiB := time.Duration(0)
+	if t.zones != nil {
+		costPerKiB = t.zones.chooser.CostPerKiB()
+	}
+	return t.choose(candidates, route, costPerKiB, excluded, now)
+}
+
+func (t *Tracker) choose(candidates []*directory.Server, route string, costPerKiB time.Duration, excluded func(id string) bool, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best Choice
@@ -56,6 +67,7 @@
 		if !usable {
 			continue
 		}
+		t.addWayLocked(&choice, route, costPerKiB)
 		if !found || choice.Score < best.Score {
 			best, found = choice, true
 		}
@@ -81,7 +93,8 @@
 	}
 	load := float64(len(state.running)) / float64(max(candidate.Capacity, 1))
 	c.Score = slowness * (1 + load) * (1 + errorFactor*state.errorRate)
-	if candidate.Zone != t.zone {
+	c.base = c.Score
+	if t.zones == nil && candidate.Zone != t.zone {
 		c.Score *= remoteZoneFactor
 	}
 	if t.stalledLocked(state, now) {
--- a/pkg/replicas/latency.go
+++ b/pkg/replicas/latency.go
@@ -15,6 +15,7 @@
 // raise it.
 type latencyEstimate struct {
 	value time.Duration // 0 before the first sample
+	usual usualLatency
 }
 
 func (u *latencyEstimate) record(sample time.Duration) {
@@ -34,3 +35,11 @@
 	}
 	return u.value
 }
+
+// usualOrTypical returns the usual latency, and the typical one before the first reply.
+func (u *latencyEstimate) usualOrTypical() time.Duration {
+	if u == nil || u.usual.value == 0 {
+		return u.get()
+	}
+	return u.usual.value
+}
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -26,6 +26,7 @@
 	zone     string // this instance's availability zone
 	sharing  RateSharing
 	onChange func(Change) // called without locks held
+	zones    *zones       // nil if remoteZoneFactor decides about other zones
 
 	mu        sync.Mutex
 	servers   map[string]*server          // by directory.Server.Key
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -20,6 +20,8 @@
 	Memory   int64    // bytes that the process may use
 	Cores    float64  // processor time that the process has
 	Bounds   RelayBounds
+	// ZoneTraffic is optional.
+	ZoneTraffic ZoneTraffic
 }
 
 // RelayListen holds the addresses to listen on, each as IP:port.
@@ -81,6 +83,8 @@
 	s.Cores = 1
 	o.Optional("cores").Float(&s.Cores, coresRange)
 	s.Bounds.read(o.Required("bounds"))
+	s.ZoneTraffic = defaultZoneTraffic()
+	s.ZoneTraffic.read(o.Optional("zone_traffic"))
 	o.Close()
 }
 
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -22,16 +22,27 @@
 	got, err := ParseRelay("relay.yaml", []byte(relayYAML))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, *got, Relay{
-		Instance: Instance{ID: "edge-a-1", Zone: "a", Region: "r"},
-		Listen:   RelayListen{Caller: "10.1.0.9:8104", Readiness: "10.1.0.9:8108", Peer: "10.1.0.9:8106", Operator: "10.1.0.9:9464"},
-		Seeds:    []string{"10.1.0.9:8106"},
-		Store:    "10.200.1.7:8102",
-		Memory:   284 << 20,
-		Cores:    0.4,
-		Bounds:   RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second},
+		Instance:    Instance{ID: "edge-a-1", Zone: "a", Region: "r"},
+		Listen:      RelayListen{Caller: "10.1.0.9:8104", Readiness: "10.1.0.9:8108", Peer: "10.1.0.9:8106", Operator: "10.1.0.9:9464"},
+		Seeds:       []string{"10.1.0.9:8106"},
+		Store:       "10.200.1.7:8102",
+		Memory:      284 << 20,
+		Cores:       0.4,
+		Bounds:      RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second},
+		ZoneTraffic: ZoneTraffic{Adaptive: true, CostPerKiB: 10 * time.Millisecond},
 	})
 }
 
+// Guards against a switch or a cost between zones that has no effect, and against a cost
+// without a unit.
+func TestZoneTraffic(t *testing.T) {
+	got, err := ParseRelay("relay.yaml", []byte(relayYAML+"zone_traffic: {adaptive: false, cost_per_kib: 2500us}\n"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.ZoneTraffic, ZoneTraffic{CostPerKiB: 2500 * time.Microsecond})
+	_, err = ParseRelay("relay.yaml", []byte(relayYAML+"zone_traffic: {cost_per_kib: 2}\n"))
+	assert.ErrorContains(t, err, "zone_traffic.cost_per_kib")
+}
+
 // Guards against reporting one finding at a time, or none.
 func TestRelaySettingsReportEveryFinding(t *testing.T) {
 	broken := strings.NewReplacer("cores: 0.4", "cores: -1", "grace: 6s", "grace: 6", "10.200.1.7:8102", "store", "zone: a", "zone: 7").Replace(relayYAML)
