--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -41,7 +41,8 @@
 	// as far as this instance's share of it goes; 0 without a limit.
 	RateDelay time.Duration
 
-	base float64 // score without penalties
+	base  float64 // score without penalties
+	state *server
 }
 
 // Choose returns the candidate with the lowest score that is not excluded, or false if
@@ -80,7 +81,7 @@
 func (t *Tracker) evaluateLocked(candidate *directory.Server, route string, now time.Time) (Choice, bool) {
 	state := t.serverLocked(candidate.Key(), now)
 	state.age(now)
-	c := Choice{Server: candidate}
+	c := Choice{Server: candidate, state: state}
 	if !state.misdirectedAt.IsZero() && now.Sub(state.misdirectedAt) < misdirectedExclusion {
 		return c, false
 	}
--- a/pkg/replicas/zones.go
+++ b/pkg/replicas/zones.go
@@ -211,7 +211,7 @@
 // reply times of a server already contain its queue, so running attempts only count when
 // they fill its capacity.
 func (t *Tracker) expectedLocked(choice *Choice, route string, now time.Time) time.Duration {
-	state := t.serverLocked(choice.Server.Key(), now)
+	state := choice.state
 	estimate := t.latencies[route]
 	cold := now.Before(choice.Server.WarmAt)
 	expected := float64(estimate.usualOrTypical())
