forward: parts that another zone does not deliver in time keep requests from leaving

The expected time of servers that only a relay observes is the usual one, so a full zone, or one whose relays have no processor time, looked free. Parts that a relay lost, or that were missing when the answer went out, now count against the zone. Without that TestLatePartsOfAnotherZoneCount fails (50 of 154 requests leave for a relay that has stopped its work).

A lost part weighs less than before: answers may lack 15 in 100 parts, so one lost part must not halve what a zone takes.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -116,7 +116,9 @@
 	}
 	var answer *Answer
 	done := func(now time.Time) bool {
-		answer = r.decideAnswer(now)
+		if answer = r.decideAnswer(now); answer != nil {
+			r.recordMissingParts(now)
+		}
 		return answer != nil
 	}
 	switch {
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -170,7 +170,9 @@
 			continue
 		}
 		s.inFlight--
-		r.recordRelayed(rc, s, false)
+		if !rc.extended { // else this instance got no processor time
+			r.recordRelayed(rc, s, false)
+		}
 		s.directOnly = true
 		s.mayHaveRun = s.mayHaveRun || asked > 0
 		if asked == 0 {
@@ -294,6 +296,20 @@
 	}
 }
 
+// recordMissingParts records the parts that relays still lack when the answer goes out.
+func (r *activeRequest) recordMissingParts(now time.Time) {
+	if now.Before(r.timing.cutoff) {
+		return
+	}
+	for _, rc := range r.relayCalls {
+		for i, s := range rc.shardRequests {
+			if rc.accepted && !rc.ended && !rc.resolved[i] {
+				r.recordRelayed(rc, s, false)
+			}
+		}
+	}
+}
+
 // resolve returns the shard request for the first result with this index, and nil for
 // later results and for an index that the call does not have.
 func (rc *relayCall) resolve(index int) *shardRequest {
--- a/pkg/forward/zone_test.go
+++ b/pkg/forward/zone_test.go
@@ -51,6 +51,31 @@
 	})
 }
 
+// Guards against requests that keep leaving for a zone that does not deliver their parts in
+// time: its servers are late, or its relay has no processor time.
+func TestLatePartsOfAnotherZoneCount(t *testing.T) {
+	for _, stopsWork := range []bool{false, true} {
+		simulate(t, func(t *testing.T, tb *testbed) {
+			route := tb.shardedRoute(10, 0.5)
+			relay := tb.addRelay()
+			relay.stopsWork = stopsWork
+			tb.decideZones(tb.engine, relay.engine)
+			tb.warmUp(route)
+			for _, service := range route.Shards[:4] {
+				tb.setBehaviour(service+".a", answersAfter(32*time.Millisecond))
+				tb.setBehaviour(service+".b", answersAfter(route.TargetLatency))
+			}
+			tb.askFor(20*time.Second, route)
+			byRelayed := tb.askFor(10*time.Second, route)
+			all := 0
+			for _, count := range byRelayed {
+				all += count
+			}
+			assert.Assert(t, byRelayed[0] > all*8/10, "stops work: %v, %v", stopsWork, byRelayed)
+		})
+	}
+}
+
 // Guards against requests that a relay sends on: the zone of the sender has decided, and two
 // full zones would pass requests to and fro.
 func TestRelayOfAFullZoneSendsNothingOn(t *testing.T) {
--- a/pkg/zonechoice/losses.go
+++ b/pkg/zonechoice/losses.go
@@ -7,7 +7,7 @@
 
 const (
 	// lossWeight is the weight of a new part in the moving average.
-	lossWeight = 0.2
+	lossWeight = 0.1
 	// lossHalfLife equals the time in which the slowness of a server is forgotten.
 	lossHalfLife = 3 * time.Second
 )
--- a/pkg/zonechoice/service.go
+++ b/pkg/zonechoice/service.go
@@ -23,8 +23,9 @@
 	// fullSlowness is the response time at which another zone has no free capacity, as a
 	// multiple of the usual one. A server with one request waiting reaches it.
 	fullSlowness = 2.0
-	// lossFactor is the weight of lost parts: with one in four lost nothing more is sent.
-	lossFactor = 4.0
+	// lossFactor is the weight of lost parts: with half of them lost nothing more is sent.
+	// Answers may lack up to 15 in 100 parts, so some are lost also where little is amiss.
+	lossFactor = 2.0
 	// zoneTolerance is how much longer than in the best zone, as a share of the usual
 	// response time, the expected response time in a zone may be for the zone to be used
 	// besides. Requests that have to leave then spread over the zones.
@@ -119,7 +120,7 @@
 	switch {
 	case s.share == 0 && now.Before(s.heldOffUntil):
 		return 0
-	case s.share > 0 && next == 0 && free == 0:
+	case s.share > 0 && next == 0 && free < Step:
 		s.holdOff = min(max(2*s.holdOff, firstHoldOff), maxHoldOff)
 		s.heldOffUntil = now.Add(s.holdOff)
 	case s.share == 0 && next > 0:
