cli: explain-route shows where an instance would send a request

Why a shard's request goes to one server or another zone could only be told afterwards, from logs. The operator listener now answers with the table, the route, and each candidate's score, expected time and reasons; the command prints that. Nothing is sent and no budget is charged.

--- a/pkg/cli/command.go
+++ b/pkg/cli/command.go
@@ -1,5 +1,5 @@
 // Package cli is the command tree of the command-line tool: bundle, search,
-// submit, status, settings, explain and version. Other packages' commands, such as demo and
+// submit, status, settings, explain, explain-route and version. Other packages' commands, such as demo and
 // experiment, are given to Run by the main package.
 package cli
 
@@ -37,6 +37,7 @@
 			{Name: "check", Short: "Check a settings file and print every finding", Data: &settingsCheckCommand{Streams: streams}},
 		}},
 		{Name: "explain", Short: "Tell from the logs of instances what decided a request", Data: &explainCommand{Streams: streams}},
+		{Name: "explain-route", Short: "Show where an instance would send a request now, and why", Long: explainRouteHelp, Data: &explainRouteCommand{Streams: streams}},
 		{Name: "version", Short: "Show the version of this tool", Data: &versionCommand{Streams: streams}},
 	}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -177,7 +177,7 @@
 	r.lifecycle = lifecycle.New(r.lifecycleConfig(front.RefuseShutdown))
 	r.idleCloser = gateway.NewIdleCloser(r.idleTimeout)
 	return errors.Join(
-		r.addListener("operator", s.Listen.Operator, &http.Server{Handler: r.registry.Handler()}),
+		r.addListener("operator", s.Listen.Operator, &http.Server{Handler: r.operatorHandler(engine)}),
 		r.addListener("peer", s.Listen.Peer, &http.Server{Handler: r.lifecycle.PeerHandler(peerHandler)}),
 		r.addListener("readiness", s.Listen.Readiness, &http.Server{Handler: r.lifecycle.Readiness()}),
 		r.addListener(callerListener, s.Listen.Caller, &http.Server{
--- a/pkg/replicas/zones.go
+++ b/pkg/replicas/zones.go
@@ -253,3 +253,6 @@
 func (t *Tracker) withoutWay(s *directory.Server, took time.Duration) time.Duration {
 	return max(took-t.RoundTrip(s), took/4)
 }
+
+// DecidesZones reports whether the zone of a first attempt is decided before its server.
+func (t *Tracker) DecidesZones() bool { return t.zones != nil }
