zonechoice, replicas: the zone decision sees servers behind relays

In a trial on a virtual clock (three zones, uneven demand, pauses) the shares returned when they were needed: expected times followed the typical latency, which an overload here raises within a second, so that the other zone looked full; servers behind relays counted as idle, so that zones at half their capacity exchanged requests; and an attempt that had relieved the zone counted as one in vain.

Expected times are now relative to the usual latency. A request that finds the server filled by this instance's own attempts leaves at once as far as the other zone is free, as with the fixed factor.

--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -36,6 +36,7 @@
 	shardRequests []*shardRequest
 	resolved      []bool // by index of shardRequests: its part has arrived or is lost
 	extra         bool   // hedges, which are charged to the budget
+	sampled       bool   // the parts come one by one, and their times are recorded
 	started       time.Time
 	extended      bool // the acceptance timeout was extended to the cutoff
 	accepted      bool
@@ -76,6 +77,8 @@
 }
 
 func (r *activeRequest) sendRelayCall(rc *relayCall) {
+	// Without a server in this zone there is no choice that the times could inform.
+	rc.sampled = !rc.extra && hasServerIn(rc.shardRequests[0].servers, r.engine.zone) && r.engine.tracker.SampleRelay(rc.zone, rc.started)
 	call := &PartsCall{
 		Request:         r.request,
 		Route:           r.route.Name,
@@ -88,7 +91,7 @@
 		Deadline:        r.timing.deadline,
 		HedgeAfter:      r.acceptanceTimeout() + cancelDelay,
 		ChargedBySender: rc.extra,
-		Merge:           !rc.extra,
+		Merge:           !rc.extra && !rc.sampled,
 		SameZone:        rc.zone == r.engine.zone,
 	}
 	if rc.extra {
@@ -234,8 +237,9 @@
 }
 
 func (r *activeRequest) handleParts(rc *relayCall, result *PartsResult) {
+	now := time.Now()
 	if len(result.Parts) > 0 {
-		r.crashes.recordReply(time.Now())
+		r.crashes.recordReply(now)
 	}
 	if result.Suspect != nil {
 		r.crashes.merge(*result.Suspect)
@@ -250,6 +254,9 @@
 		}
 		s.inFlight--
 		r.recordRelayed(rc, s, true)
+		if rc.sampled {
+			r.engine.tracker.RecordRelayedTime(s.service, rc.zone, r.route.Name, now.Sub(rc.started), now)
+		}
 		if s.isComplete() {
 			continue
 		}
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -96,6 +96,10 @@
 	latency := a.tracker.latencyLocked(a.route)
 	serverTime := a.tracker.withoutWay(a.target, took)
 	ratio := float64(serverTime) / float64(latency.get())
+	usualRatio := float64(serverTime) / float64(latency.usualOrTypical())
+	if outcome == Answered || (outcome == Expired || outcome == Abandoned) && usualRatio > a.server.usualRatio {
+		recordRatio(&a.server.usualRatio, usualRatio)
+	}
 	switch outcome {
 	case Answered:
 		latency.record(serverTime)
--- a/pkg/replicas/server.go
+++ b/pkg/replicas/server.go
@@ -37,11 +37,14 @@
 
 // server is the observed state of one run of a backend server process.
 type server struct {
-	running    []*Attempt // by start time
-	slowness   float64    // moving average of reply time / typical latency of the route; 1 is neutral
-	errorRate  float64    // moving average of the share of attempts that were refused or failed
-	decayedAt  time.Time  // time up to which slowness and errorRate have decayed
-	lastAccess time.Time  // last time that the server was a candidate or got an attempt
+	running  []*Attempt // by start time
+	slowness float64    // moving average of reply time / typical latency of the route; 1 is neutral
+	// usualRatio is a moving average of reply time / usual latency of the route. Unlike the
+	// slowness it does not fall when all other servers become slower within a second.
+	usualRatio float64
+	errorRate  float64   // moving average of the share of attempts that were refused or failed
+	decayedAt  time.Time // time up to which slowness and errorRate have decayed
+	lastAccess time.Time // last time that the server was a candidate or got an attempt
 
 	consecutiveFailures  int // reset by a reply
 	consecutiveEjections int // reset by a reply
@@ -54,7 +57,9 @@
 	pausedUntil          time.Time // until then the server wants no requests from this instance
 }
 
-func newServer(now time.Time) *server { return &server{slowness: 1, decayedAt: now, lastAccess: now} }
+func newServer(now time.Time) *server {
+	return &server{slowness: 1, usualRatio: 1, decayedAt: now, lastAccess: now}
+}
 
 // age lets the estimates decay towards neutral and lifts an outdated limit.
 func (s *server) age(now time.Time) {
@@ -64,6 +69,7 @@
 		return
 	}
 	s.slowness = 1 + (s.slowness-1)*decay(passed, slownessHalfLife)
+	s.usualRatio = 1 + (s.usualRatio-1)*decay(passed, slownessHalfLife)
 	s.errorRate *= decay(passed, errorHalfLife)
 	s.decayedAt = now
 }
@@ -73,9 +79,12 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-func (s *server) recordSlowness(ratio float64) {
-	ratio = min(ratio, maxSlowness, maxSampleGrowth*s.slowness)
-	s.slowness += slownessWeight * (ratio - s.slowness)
+func (s *server) recordSlowness(ratio float64) { recordRatio(&s.slowness, ratio) }
+
+// recordRatio records a sample in a moving average.
+func recordRatio(average *float64, ratio float64) {
+	ratio = min(ratio, maxSlowness, maxSampleGrowth**average)
+	*average += slownessWeight * (ratio - *average)
 }
 
 // recordMinSlowness records the duration of an attempt that ended without a reply. The
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -101,6 +101,9 @@
 		return
 	}
 	t.lastSweep = now
+	if t.zones != nil {
+		t.zones.sweepRelayed(now)
+	}
 	for key, s := range t.servers {
 		if len(s.running) == 0 && now.Sub(s.lastAccess) >= forgetAfter {
 			delete(t.servers, key)
--- a/pkg/replicas/zones.go
+++ b/pkg/replicas/zones.go
@@ -29,8 +29,10 @@
 	trips    RoundTrips
 	outgoing zonechoice.Outgoing
 	bytes    map[string]*exchangeSize // by route
-	view     zonechoice.View          // of the latest decision; reused
-	best     []Choice                 // best server of each zone in the latest decision; reused
+	relayed  map[relayedKey]*relayedTime
+	sampled  map[string]time.Time // by zone: when its relays were last sampled
+	view     zonechoice.View      // of the latest decision; reused
+	best     []Choice             // best server of each zone in the latest decision; reused
 }
 
 // exchangeSize is the moving average of the bytes of a request and its reply.
@@ -42,7 +44,7 @@
 // DecideZonesBy lets the chooser decide which first attempts leave this zone, in place of
 // the fixed factor. It has to be called before the tracker is used.
 func (t *Tracker) DecideZonesBy(chooser *zonechoice.Chooser, trips RoundTrips) {
-	t.zones = &zones{chooser: chooser, trips: trips, bytes: make(map[string]*exchangeSize)}
+	t.zones = &zones{chooser: chooser, trips: trips, bytes: make(map[string]*exchangeSize), relayed: make(map[relayedKey]*relayedTime), sampled: make(map[string]time.Time)}
 }
 
 // DrawZone returns a value from 0 to 1 for a new request on a route. The request leaves
@@ -197,6 +199,7 @@
 	z := zonechoice.Zone{
 		Name:     choice.Server.Zone,
 		Expected: t.expectedLocked(choice, route, now),
+		Queued:   choice.AtCapacity,
 		Paused:   choice.Stalled && !limited,
 		Waits:    choice.RateDelay > 0,
 		Full:     choice.AtLimit || choice.Stalled && limited,
@@ -212,17 +215,23 @@
 // they fill its capacity.
 func (t *Tracker) expectedLocked(choice *Choice, route string, now time.Time) time.Duration {
 	state := choice.state
-	estimate := t.latencies[route]
-	cold := now.Before(choice.Server.WarmAt)
-	expected := float64(estimate.usualOrTypical())
+	usual := float64(t.latencies[route].usualOrTypical())
+	ratio := 1.0
 	if !state.lastAttemptEnd.IsZero() && now.Sub(state.lastAttemptEnd) < recentReply {
-		expected = float64(estimate.get()) * state.slowness
+		ratio = state.usualRatio
+	} else if t.zones != nil && choice.Server.Zone != t.zone {
+		if relayed, known := t.zones.relayedRatio(choice.Server.Service, choice.Server.Zone, now); known {
+			ratio = relayed
+		}
 	}
-	if cold {
-		expected = max(expected, coldSlowness*float64(estimate.usualOrTypical()))
+	if now.Before(choice.Server.WarmAt) {
+		ratio = max(ratio, coldSlowness)
 	}
+	expected := usual * ratio
 	capacity := max(choice.Server.Capacity, 1)
-	expected *= 1 + float64(max(len(state.running)-capacity+1, 0))/float64(capacity)
+	if len(state.running) >= capacity {
+		expected *= 1 + float64(len(state.running))/float64(capacity)
+	}
 	expected *= 1 + errorFactor*state.errorRate
 	if choice.AtLimit {
 		expected += float64(choice.ExpectedLatency)
--- a/pkg/replicas/zones_test.go
+++ b/pkg/replicas/zones_test.go
@@ -124,3 +124,23 @@
 	assert.Assert(t, typical > 5*typicalLatency)
 	assert.Assert(t, b.latencies[route].usual.value < 2*typicalLatency, "%v", b.latencies[route].usual.value)
 }
+
+// Guards against an overload of this zone that makes the other one look full: replies from
+// there are rare, and the typical latency, which the replies here raise, changes within a
+// second. Shares then returned whenever they were needed.
+func TestOverloadHereDoesNotSlowTheOtherZone(t *testing.T) {
+	b := newZoneTracker(5 * time.Millisecond)
+	b.RecordRelayedTime("s", "there", route, typicalLatency+5*time.Millisecond, b.now)
+	for range 20 {
+		for range 5 {
+			a := b.Begin(b.local, route, b.now.Add(-8*typicalLatency), b.now.Add(time.Second))
+			a.End(Answered, b.now)
+		}
+		b.now = b.now.Add(5 * time.Millisecond)
+	}
+	typical, _ := b.TypicalLatency(route)
+	assert.Assert(t, typical > 4*typicalLatency)
+	standings := b.Standings([]*directory.Server{b.local, b.remote}, route, b.now)
+	assert.Assert(t, standings[0].Expected > 4*typicalLatency, "%v", standings[0].Expected)
+	assert.Assert(t, standings[1].Expected < typicalLatency*5/4, "%v", standings[1].Expected)
+}
--- a/pkg/zonechoice/chooser.go
+++ b/pkg/zonechoice/chooser.go
@@ -66,14 +66,17 @@
 	}
 	if (v.Here.Paused || v.Here.Waits) && !target.Paused && !target.Waits {
 		// The moment says nothing about the load, so the share stays.
-		return target.Name, v.Here.Waits || v.Draw <= s.freeShare(target, v.Usual, now)
+		return target.Name, v.Here.Waits || total < pauseTime
 	}
 	s.sample(v, target, total, worthwhile, now)
 	if !now.Before(s.nextMove) {
 		c.set(v.Service, s, s.move(now), target.Name, now)
 		c.schedule(s, now)
 	}
-	return target.Name, v.Draw < s.share
+	if v.Here.Full && !target.Full && s.freeShare(target, v.Usual, now) > 0 {
+		return target.Name, true
+	}
+	return target.Name, v.Draw < s.share || (v.Here.Queued || v.Here.Full) && s.spills(v, target, total, now)
 }
 
 // schedule sets the time of the next move. The random interval keeps the instances from
--- a/pkg/zonechoice/view.go
+++ b/pkg/zonechoice/view.go
@@ -16,6 +16,9 @@
 	Paused bool
 	// Waits is set when the best server accepts a request only after a pause.
 	Waits bool
+	// Queued is set when this instance's own attempts fill the best server, so that another
+	// one waits.
+	Queued bool
 	// Full is set when the best server has no free capacity.
 	Full bool
 }
@@ -28,7 +31,7 @@
 	Others  []Zone        // zones with a server that can be asked, in an order that does not vary
 	Usual   time.Duration // response time of an idle server of the route
 	Bytes   float64       // of one exchange with a server; 0 is unknown
-	// Draw is the request's value of a Sequence, 0 to 1. A value of 1 stays while this zone
-	// has a server that can be asked.
+	// Draw is the request's value of a Sequence, 0 to 1. A request with 1 leaves only while
+	// this zone has no server that can be asked at once.
 	Draw float64
 }
