--- a/pkg/zonechoice/service.go
+++ b/pkg/zonechoice/service.go
@@ -6,8 +6,8 @@
 	// Step is the most that a share moves at once.
 	Step = 0.125
 	// returnStep is the most that a share falls at once while the other zone has free
-	// capacity. Shares that fell as fast as they rise swung between 0.2 and 0.6 in the
-	// simulation of a full zone, which needs 0.3.
+	// capacity. With shares that fall as fast as they rise the response time of a full zone
+	// swung up to 54 instead of 34 ms in the simulation.
 	returnStep = Step / 2
 	// MinInterval and MaxInterval bound the random time between two moves of a share. With
 	// these, a share takes about 2.4 s from 0 to 1, and 4.8 s back, longer than a server is
