--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -75,13 +75,14 @@
 	forward.BadRequest:      "refused because the request could not be read",
 	forward.NoServer:        "refused because no backend server was usable (shortage)",
 	forward.RateLimited:     "refused because the rate limits that backend servers name were used up (shortage)",
+	forward.NoCapacity:      "refused because required shards had no capacity in time (shortage)",
 	forward.ServersRefused:  "refused because every backend server asked had no room (shortage)",
 	forward.TooFewShards:    "failed because fewer shards answered than the route requires (shortage)",
 	forward.TimedOut:        "ended at the caller's deadline or the route's timeout",
 	forward.AnswerLost:      "failed because a backend server may have run the request and its answer was lost",
 	forward.CallerLeft:      "given up because the caller had left",
 	forward.ShuttingDown:    "ended because the instance shut down",
-	forward.CrashSuspect:    "refused because backend servers were lost under the same request one after the other",
+	forward.CrashSuspect:    "refused because several backend servers were lost under the same request",
 	forward.ViewUnconfirmed: "refused because no route matches and the store did not confirm the table (shortage)",
 }
 
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -51,6 +51,7 @@
 	confirmed confirmation // of the whole view
 	confirmer *tableConfirmer
 	calls     StoreCalls
+	rejected  *rejections
 
 	mu        sync.Mutex // serializes changes of table, ready and storeLost
 	ready     chan struct{}
@@ -66,6 +67,7 @@
 		directory: d,
 		logger:    logger,
 		cache:     newWatchCache(),
+		rejected:  newRejections(logger),
 		ready:     make(chan struct{}),
 		storeLost: make(chan struct{}),
 	}
@@ -98,6 +100,9 @@
 // StoreCalls returns the numbers of calls to the store.
 func (f *Follower) StoreCalls() *StoreCalls { return &f.calls }
 
+// Rejected returns how many revisions of items could not be decoded.
+func (f *Follower) Rejected() int64 { return f.rejected.count.Load() }
+
 // Ready returns a channel that is closed once the table and the list of backend servers
 // have been read.
 func (f *Follower) Ready() <-chan struct{} { return f.ready }
@@ -140,11 +145,17 @@
 }
 
 // awaitReady waits until this instance has read the table and the backend servers.
-// Requests that arrive at a starting instance wait here.
+// Requests that arrive at a starting instance wait here, but not while the store does not
+// answer: they are refused while their callers still have the time to try again.
 func (f *Follower) awaitReady(ctx context.Context) (*routing.Table, bool) {
+	f.mu.Lock()
+	storeLost := f.storeLost
+	f.mu.Unlock()
 	select {
 	case <-f.ready:
 		return f.Table(), true
+	case <-storeLost:
+		return f.Table(), false
 	case <-ctx.Done():
 		return nil, false
 	}
@@ -185,6 +196,7 @@
 // applyAll puts a complete list of items in force.
 func (f *Follower) applyAll(b Batch, origin string) {
 	var entries []directory.Entry
+	var drainedZones []string
 	var table *routing.Table
 	var tableItem Item
 	for _, item := range b.Items {
@@ -194,12 +206,24 @@
 			table, tableItem = decoded.Table, item
 		}
 		if decoded.Entry != nil {
+			decoded.Entry.Revision = item.Revision
 			entries = append(entries, *decoded.Entry)
 		}
+		if decoded.DrainedZone != "" && !item.Removed {
+			drainedZones = append(drainedZones, decoded.DrainedZone)
+		}
+	}
+	// Zones are drained before their servers are listed, and return after that, so that
+	// no server of a drained zone is in use in between.
+	for _, zone := range drainedZones {
+		f.logZoneChange(f.directory.DrainZone(zone), b.Revision)
 	}
 	for _, change := range f.directory.Replace(entries) {
 		f.logChange(change, b.Revision)
 	}
+	for _, change := range f.directory.ReturnOtherZones(drainedZones) {
+		f.logZoneChange(&change, b.Revision)
+	}
 	// The table comes last: requests that wait for it need the backend servers as well.
 	f.adoptTable(tableItem, table, origin)
 	staying, leaving := f.directory.Count()
@@ -213,10 +237,15 @@
 		f.logDecodeError(item, decoded)
 		f.adoptTable(item, decoded.Table, origin)
 		switch {
+		case decoded.DrainedZone != "" && item.Removed:
+			f.logZoneChange(f.directory.ReturnZone(decoded.DrainedZone), item.Revision)
+		case decoded.DrainedZone != "":
+			f.logZoneChange(f.directory.DrainZone(decoded.DrainedZone), item.Revision)
 		case decoded.ServerID == "":
 		case decoded.Entry == nil:
 			f.logChange(f.directory.Remove(decoded.ServerID), item.Revision)
 		default:
+			decoded.Entry.Revision = item.Revision
 			f.logChange(f.directory.Put(*decoded.Entry), item.Revision)
 		}
 	}
@@ -246,9 +275,21 @@
 	f.logger.Info("backend server "+string(change.Kind), "backend_server", change.ID, "service", change.Service, "revision", revision)
 }
 
+// logZoneChange logs that a zone was drained or has returned; change is nil if nothing changed.
+func (f *Follower) logZoneChange(change *directory.ZoneChange, revision int64) {
+	if change == nil {
+		return
+	}
+	message := "zone returned"
+	if change.Drained {
+		message = "zone drained"
+	}
+	f.logger.Info(message, "zone", change.Zone, "backend_servers", change.Servers, "revision", revision)
+}
+
 func (f *Follower) logDecodeError(item Item, decoded Decoded) {
 	if decoded.Err != nil {
-		f.logger.Warn("published item cannot be used", "key", item.Key, "revision", item.Revision, "error", decoded.Err)
+		f.rejected.record(item, decoded.Err)
 	}
 }
 
--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -28,17 +29,19 @@
 	// maxConnections is the number of connections that a server of a service
 	// accepts from all instances.
 	maxConnections func(service string) int
-	// usesStrongerRelay is set when this instance hands the shards of its own zone to an
-	// instance with more processor time. This instance then reads acceptances late and
-	// could not ask the servers itself in time.
+	// usesStrongerRelay is set when this instance hands first attempts to an instance with
+	// much more processor time. This instance then reads acceptances late and could not ask
+	// the servers itself in time, so it keeps its relays until the cutoff.
 	usesStrongerRelay bool
 	servesPeer        bool // this instance is the relay; it does not relay first attempts again
 	chargedBySender   bool // every attempt is an extra one, which the sending instance has charged to its budget
 	request           *Request
+	allowedZones      []string // zones whose servers may get the request; nil means all
 	crashes           *crashSuspicion
 	timing            timing
 	shardRequests     []*shardRequest
 	trace             Trace
+	stages            stageClock
 
 	ctx      context.Context // of the attempts
 	cancel   context.CancelFunc
@@ -54,6 +57,8 @@
 	// zoneDraw decides with the share of a service whether its first attempt leaves this
 	// zone. It is the same for all shards, so that those which leave share a message.
 	zoneDraw float64
+	wake     chan struct{} // gets a value when a waiting attempt may have capacity
+	returned bool          // the request came back after a refusal
 
 	wakeAt time.Time // time at which loop wakes up even without an event; zero means never
 
@@ -71,25 +76,27 @@
 		route:          route,
 		maxConnections: maxConnections,
 		request:        request,
-		crashes:        newCrashSuspicion(e, request),
-		timing:         newTiming(route, request, e.latencyEstimate(route)),
+		crashes:        newCrashSuspicion(e, request, route.Sharded()),
+		timing:         newTiming(route, request, e.latencyEstimate(route), e.ownWork),
 		shardRequests:  make([]*shardRequest, len(services)),
 		zoneDraw:       e.tracker.DrawZone(route.Name),
+		allowedZones:   e.allowedZones(route),
 	}
 	servers := 0
 	for i, service := range services {
-		usable := e.directory.Servers(service)
-		r.shardRequests[i] = &shardRequest{index: i, service: service, servers: usable}
+		usable := r.usableServers(service)
+		r.shardRequests[i] = &shardRequest{index: i, service: service, servers: usable, returnDraw: rand.Float64()}
 		servers += len(usable)
 	}
 	if route.Sharded() {
 		r.trace.Shards = len(services)
 		r.maxMissingShare = 1 - float64(route.RequiredShards())/float64(len(services))
-		e.priorities.record(route.Priority, request.Arrived)
+		e.shedding.Classes.Record(route.Priority, request.Arrived)
 	} else {
 		r.trace.Service = services[0]
 	}
 	r.results = make(chan attemptResult, servers)
+	r.wake = make(chan struct{}, 1)
 	r.relayEvents = make(chan relayEvent, relayEventsPerShard*len(services))
 	// Attempts continue after the answer: one that was slower than its hedge ends
 	// normally, which keeps its connection usable and measures the server's reply time.
@@ -98,10 +105,11 @@
 	return r
 }
 
-// release drops one reference and cancels the context of the attempts once neither the
-// request nor an attempt needs it.
+// release drops one reference. Once neither the request nor an attempt is left, it makes the
+// report of losses that is due and cancels the context of the attempts.
 func (r *activeRequest) release() {
 	if r.refCount.Add(-1) == 0 {
+		r.crashes.attemptsEnded()
 		r.cancel()
 	}
 }
@@ -109,7 +117,8 @@
 // waitForAnswer forwards the request and returns its answer.
 func (r *activeRequest) waitForAnswer(ctx context.Context) *Answer {
 	defer r.markNoLongerNeeded()
-	defer r.crashes.requestEnded()
+	defer r.requestEnded()
+	r.holdBack(ctx)
 	if refused := r.refuseIfUnanswerable(time.Now()); refused != nil {
 		refused.Trace = r.finishTrace()
 		return refused
@@ -145,11 +154,13 @@
 		r.engine.shardedInProgress.Add(1)
 		defer r.engine.shardedInProgress.Add(-1)
 	}
+	r.stages.began = time.Now()
 	for _, s := range r.shardRequests {
 		if !r.launch(s, first) {
 			r.markLost(s)
 		}
 	}
+	r.stages.fannedOut = time.Now()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -160,13 +171,17 @@
 			r.recordLateness(r.timing.cutoff)
 			return true
 		}
-		timer.Reset(r.nextWakeup(now).Sub(now))
+		wakeup := r.nextWakeup(now)
+		timer.Reset(wakeup.Sub(now))
 		select {
 		case res := <-r.results:
 			r.handleResult(res)
 		case e := <-r.relayEvents:
 			r.handleRelayEvent(e)
 		case <-timer.C:
+			fired := time.Now()
+			r.engine.shedding.Shortage.RecordTimer(fired.Sub(wakeup), fired)
+		case <-r.wake:
 		case <-ctx.Done():
 			r.cancel()
 			return false
@@ -192,6 +207,7 @@
 		return
 	}
 	r.latenessRecorded = true
+	r.recordShortage(now)
 	late := 1 - float64(r.answeredShards)/float64(len(r.shardRequests))
 	if change := r.engine.lateness.record(r.route.Name, late, r.maxMissingShare, now); change != nil {
 		r.engine.onLatenessChange(*change)
@@ -204,6 +220,7 @@
 	for _, s := range r.shardRequests {
 		s.withdrawUnsent()
 		r.dropReservation(s, time.Now())
+		r.leaveQueue(s, false)
 	}
 }
 
@@ -258,12 +275,14 @@
 }
 
 func (r *activeRequest) markLost(s *shardRequest) {
+	r.leaveQueue(s, false)
 	s.lost = true
 	r.lostShards++
 }
 
 func (r *activeRequest) finishTrace() Trace {
 	r.trace.Parts = r.answeredShards
+	r.stages.finish(&r.trace.Stages)
 	for _, s := range r.shardRequests {
 		if s.reply == nil {
 			r.trace.Missing = append(r.trace.Missing, s.service)
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -9,6 +9,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
@@ -19,10 +20,12 @@
 	suspects          *suspects.Tracker
 	budget            *retrybudget.Budget
 	weights           *routing.WeightedRoundRobin
-	priorities        *recentPriorities
+	shedding          *shedding.Policy
 	lateness          *lateShares
 	client            BackendClient
 	zone              string
+	ownWork           time.Duration     // see ownWorkTime
+	regions           map[string]string // by zone; empty if the settings name none
 	relays            Relays
 	sharing           Sharing
 	onLatenessChange  func(LatenessChange)
@@ -39,14 +42,16 @@
 	RemoteInstances() int
 }
 
-// Config is the input of New. All fields are required.
+// Config is the input of New. All fields but Cores and Regions are required.
 type Config struct {
 	Directory        *directory.Directory
 	Tracker          *replicas.Tracker
 	Suspects         *suspects.Tracker
 	Budget           *retrybudget.Budget
 	Client           BackendClient
-	Zone             string // this instance's availability zone
+	Cores            float64           // processor time of this instance; 0 is unknown
+	Zone             string            // this instance's availability zone
+	Regions          map[string]string // region of each zone, for routes with allowed regions
 	Relays           Relays
 	Sharing          Sharing
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
@@ -63,10 +68,12 @@
 		suspects:         config.Suspects,
 		budget:           config.Budget,
 		weights:          routing.NewWeightedRoundRobin(),
-		priorities:       newRecentPriorities(),
+		shedding:         shedding.NewPolicy(),
 		lateness:         newLateShares(),
 		client:           config.Client,
 		zone:             config.Zone,
+		ownWork:          ownWorkTime(config.Cores),
+		regions:          config.Regions,
 		relays:           config.Relays,
 		sharing:          config.Sharing,
 		onLatenessChange: config.OnLatenessChange,
@@ -92,7 +99,12 @@
 		return known.MaxConnections
 	})
 	defer r.release()
-	return r.waitForAnswer(ctx)
+	r.returned = e.shedding.Refused.Take(r.crashes.fingerprint, request.Arrived)
+	answer := r.waitForAnswer(ctx)
+	if refusal := answer.Refusal; refusal != nil && refusal.RetryAfter > 0 {
+		e.shedding.Refused.Add(r.crashes.fingerprint, refusal.RetryAfter, time.Now())
+	}
+	return answer
 }
 
 const (
--- a/pkg/forward/explanation.go
+++ b/pkg/forward/explanation.go
@@ -53,7 +53,7 @@
 	}
 	x.Route, x.Sharded = route.Name, route.Sharded()
 	// A request that relayFor can be asked about; it is never started.
-	r := &activeRequest{engine: e, route: route}
+	r := &activeRequest{engine: e, route: route, allowedZones: e.allowedZones(route)}
 	if route.Sharded() {
 		x.Required = route.RequiredShards()
 		for _, service := range route.Shards {
@@ -87,7 +87,7 @@
 func (e *Engine) explainService(r *activeRequest, service string, now time.Time) ServiceExplanation {
 	x := ServiceExplanation{Service: service}
 	x.ShareOut, x.LeaveFor = e.tracker.ShareSentOut(service)
-	servers := e.directory.Servers(service)
+	servers := r.usableServers(service)
 	var best *replicas.Standing
 	standings := e.tracker.Standings(servers, r.route.Name, now)
 	for i := range standings {
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -39,13 +39,27 @@
 	if !r.mayLaunch(s, why, now) {
 		return false
 	}
-	if r.mustProbe(s, now) {
+	verdict := r.crashes.verdict(now)
+	if why == hedge && verdict.Suspected() {
+		return false
+	}
+	if r.mustProbe(s, verdict) {
 		s.waiting = true
 		return true
 	}
+	if !r.mayProbe(verdict, now) {
+		return false
+	}
+	if verdict.Quarantined() && !r.drawsProbe() {
+		s.waiting = true
+		return true
+	}
+	if r.isLeftOut(s, why, now) {
+		return false
+	}
 	if why != first {
 		// Servers may have begun to leave since the request arrived.
-		s.servers = r.engine.directory.Servers(s.service)
+		s.servers = r.usableServers(s.service)
 	}
 	choice, ok := r.choose(s, why, now)
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
@@ -57,12 +71,21 @@
 	if r.mustWait(s, choice, why, now) {
 		if !s.waiting {
 			r.traceEvent(s, AttemptEvent{Server: choice.Server.ID, Event: "waits for room"})
+			r.engine.shedding.Shortage.RecordPart(s.service, true, now)
 		}
 		s.waiting = true
+		r.updateQueue(s, choice, now)
 		return true
 	}
 	s.waiting = false
-	return r.start(s, choice, why, now)
+	r.recordTurn(s, choice, why)
+	if !r.start(s, choice, why, now) {
+		return false
+	}
+	if verdict.Suspected() {
+		r.crashes.probes++
+	}
+	return true
 }
 
 // start starts an attempt at the chosen server, and returns false if the budget does not
@@ -83,6 +106,9 @@
 // request counts for the budget of the instance that executes the attempt: this one, or
 // the relay that gets it.
 func (r *activeRequest) startFirst(s *shardRequest, choice replicas.Choice, why purpose, now time.Time) {
+	if why == first {
+		r.stages.recordStart(&r.trace.Stages, now)
+	}
 	if !s.countedInBudget {
 		s.countedInBudget = true
 		if zone, relay := r.relayFor(s, choice.Server, why); relay != nil {
@@ -176,6 +202,7 @@
 	if relay != nil && why == first && r.relayZone == "" {
 		// The other shards without a server in this zone use the same relay.
 		r.relayZone = zone
+		r.usesStrongerRelay = r.usesStrongerRelay || relay.Stronger()
 	}
 	return zone, relay
 }
@@ -206,9 +233,6 @@
 	if why != first && r.tooLate(s, now) {
 		return false
 	}
-	if verdict := r.crashes.verdict(now); verdict.Quarantined() || why == hedge && verdict.Suspected() {
-		return false
-	}
 	return why == first || r.route.Repeatable || !s.mayHaveRun && s.inFlight == 0
 }
 
@@ -224,22 +248,39 @@
 }
 
 // choose selects the server for the next attempt. It prefers servers that stay over those
-// that are leaving.
+// that are leaving. Servers of a zone that has just returned get a rising share of the
+// choices, and those that no other server can take.
 func (r *activeRequest) choose(s *shardRequest, why purpose, now time.Time) (replicas.Choice, bool) {
+	tracker := r.engine.tracker
+	candidates := tracker.WithoutReturning(s.servers, s.returnDraw, now)
+	if len(candidates) == len(s.servers) {
+		return r.chooseAmong(s, candidates, why, now)
+	}
+	// What the return of a zone keeps out says nothing about the share that leaves.
+	choice, ok := tracker.Choose(candidates, r.route.Name, s.wasTried, now)
+	if !ok || choice.Stalled || choice.AtLimit || choice.Ejected || choice.RateDelay > 0 {
+		return r.chooseAmong(s, s.servers, why, now)
+	}
+	return choice, true
+}
+
+// chooseAmong selects among servers, and among those that are leaving if there is no other.
+func (r *activeRequest) chooseAmong(s *shardRequest, servers []*directory.Server, why purpose, now time.Time) (replicas.Choice, bool) {
+	tracker := r.engine.tracker
 	var choice replicas.Choice
 	var ok bool
 	switch why {
 	case first:
-		choice, ok = r.engine.tracker.ChooseFirst(s.servers, r.route.Name, r.zoneDraw, s.wasTried, now)
+		choice, ok = tracker.ChooseFirst(servers, r.route.Name, r.zoneDraw, s.wasTried, now)
 	case hedge:
-		choice, ok = r.engine.tracker.ChooseHedge(s.servers, r.route.Name, s.wasTried, now)
+		choice, ok = tracker.ChooseHedge(servers, r.route.Name, s.wasTried, now)
 	default:
-		choice, ok = r.engine.tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+		choice, ok = tracker.Choose(servers, r.route.Name, s.wasTried, now)
 	}
 	if ok {
 		return choice, true
 	}
-	return r.engine.tracker.Choose(r.engine.directory.LastResort(s.service), r.route.Name, s.wasTried, now)
+	return r.engine.tracker.Choose(r.lastResort(s.service), r.route.Name, s.wasTried, now)
 }
 
 func (r *activeRequest) sendAttempt(s *shardRequest, choice replicas.Choice, now time.Time) {
@@ -265,12 +306,18 @@
 		NewConnection: !r.route.Repeatable,
 		Until:         until,
 		Leaves:        server.Leaves(),
-		Send:          func() bool { return r.engine.directory.MayUse(server) && state.Send() },
+		Send:          func() bool { return r.maySend(server, time.Now()) && state.Send() },
 	}
 	tracked := r.engine.tracker.Begin(server, r.route.Name, now, r.replyDue(due, now))
 	go r.attempt(attemptResult{shardIndex: s.index, server: server, runState: state, started: now}, call, tracked)
 }
 
+// maySend reports whether an attempt that has waited for a connection may still be sent. It is
+// safe for concurrent use.
+func (r *activeRequest) maySend(server *directory.Server, now time.Time) bool {
+	return r.mayUse(server) && !r.isBarred(r.crashes.verdict(now), now)
+}
+
 // replyDue returns when the tracker should expect the reply to an attempt that starts now.
 // After the cutoff every reply is late, so its time says nothing about the server.
 func (r *activeRequest) replyDue(due, now time.Time) time.Time {
@@ -312,6 +359,7 @@
 		}
 	}
 	tracked.End(outcomeOf(&res, r.ctx.Err()), now)
+	r.engine.shedding.Queue.Wake(call.Server.Service)
 	deliver(r.ctx, r.results, res)
 }
 
--- a/pkg/forward/reservation.go
+++ b/pkg/forward/reservation.go
@@ -24,7 +24,7 @@
 // so that its caller can try again, and does not use up the rate.
 func (r *activeRequest) maxRateDelay(now time.Time) time.Duration {
 	left := max(r.timing.cutoff.Sub(now)-r.engine.latencyEstimate(r.route), 0)
-	if r.route.Sharded() && r.engine.priorities.hasHigher(r.route.Priority, now) {
+	if r.route.Sharded() && r.engine.shedding.Classes.HasHigher(r.route.Priority, now) {
 		return time.Duration(lowPriorityWaitShare * float64(left))
 	}
 	return left
@@ -52,9 +52,9 @@
 		return
 	}
 	r.dropReservation(s, now)
-	s.servers = r.engine.directory.Servers(s.service)
+	s.servers = r.usableServers(s.service)
 	started := false
-	if r.mayLaunch(s, first, now) && slices.ContainsFunc(s.servers, func(server *directory.Server) bool { return server.Key() == choice.Server.Key() }) {
+	if r.mayLaunch(s, first, now) && !r.crashes.verdict(now).Suspected() && slices.ContainsFunc(s.servers, func(server *directory.Server) bool { return server.Key() == choice.Server.Key() }) {
 		started = r.start(s, choice, first, now)
 	} else {
 		started = r.launch(s, first)
--- a/pkg/forward/results.go
+++ b/pkg/forward/results.go
@@ -17,6 +17,7 @@
 		s.reply = res.reply
 		s.withdrawUnsent()
 		r.answeredShards++
+		r.stages.recordPart(time.Now())
 		return
 	}
 	r.recordFailure(s, res)
@@ -56,6 +57,7 @@
 	switch {
 	case res.reply == nil && !res.err.Sent:
 		r.uncountArrival(s)
+		r.crashes.uncountProbe()
 		if r.engine.directory.HasBegunToLeave(res.server) {
 			s.forget(res.server.ID) // it may still serve as a last resort
 		}
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -36,6 +36,8 @@
 	relays    map[string]Relay    // by zone
 	suspects  []*suspects.Tracker // of all instances
 	reports   atomic.Int32        // of suspects
+	// reportDelay returns how long a report takes; nil means that it arrives at once.
+	reportDelay func() time.Duration
 
 	mu       sync.Mutex
 	servers  map[string]behaviour // by id; a server without an entry answers after work
@@ -71,7 +73,11 @@
 		OnSuspect: func(s suspects.Suspect) {
 			tb.reports.Add(1)
 			for _, other := range tb.suspects {
-				other.Merge(s)
+				if tb.reportDelay == nil {
+					other.Merge(s)
+					continue
+				}
+				time.AfterFunc(tb.reportDelay(), func() { other.Merge(s) })
 			}
 		},
 	})
@@ -170,11 +176,11 @@
 }
 
 func (tb *testbed) addServer(service, id, zone string) {
+	tb.setBehaviour(id, tb.counted(answersAfter(work))) // first, since a listed server may be asked at once
 	tb.directory.Put(directory.Entry{
 		Server:   membership.BackendServer{ID: id, Service: service, Zone: zone, Address: "10.0.0.1:1", State: membership.StateLive},
 		Capacity: 2,
 	})
-	tb.setBehaviour(id, tb.counted(answersAfter(work)))
 }
 
 func record(service string) []byte { return []byte(fmt.Sprintf("%-16s", service)) }
--- a/pkg/forward/trace.go
+++ b/pkg/forward/trace.go
@@ -15,9 +15,11 @@
 	Hedges        int      // attempts made because a server was slow
 	Retries       int      // attempts made because a server failed or refused
 	Relayed       int      // shards that were requested from another instance
+	LeftOut       int      // hedges and parts that were not asked for because capacity was short
 	Denied        int      // hedges and retries that the budget did not allow
 	Events        []AttemptEvent
 	DroppedEvents int // events beyond maxTraceEvents
+	Stages        Stages
 }
 
 // AttemptEvent is an event of a request that delayed its answer: an attempt that failed, was
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -51,12 +51,15 @@
 // newExchange returns the exchange of a request that has just arrived.
 func (g *Gateway) newExchange(r *http.Request) exchange {
 	id, callerTimeout := g.codec.ReadRequestFields(r.Header)
-	return exchange{ID: id, Method: r.Method, Path: r.URL.Path, Arrived: time.Now(), CallerTimeout: callerTimeout}
+	return exchange{ID: id, Method: r.Method, Path: r.URL.Path, Arrived: time.Now(), CallerTimeout: callerTimeout, NetworkTime: networkTime(r.Context())}
 }
 
 // finish writes the answer to a request and records the exchange.
 func (g *Gateway) finish(w http.ResponseWriter, r *http.Request, e *exchange, answer *forward.Answer) {
+	ready := time.Now()
 	e.Status = g.write(w, e.ID, answer)
+	answer.Trace.Stages.Read = e.Read
+	answer.Trace.Stages.Write = time.Since(ready)
 	e.Answer = answer
 	e.Took = time.Since(e.Arrived)
 	g.recorder.record(r.Context(), e)
@@ -68,21 +71,24 @@
 	table, route, refusal := g.route(r)
 	if refusal != nil {
 		e.Table = table
+		e.spreadRetry(refusal)
 		return &forward.Answer{Refusal: refusal}
 	}
 	e.Table, e.Route = table, route
 	body, refusal := readBody(r, table.Limits())
+	e.Read = time.Since(e.Arrived)
 	if refusal != nil {
 		return &forward.Answer{Refusal: refusal}
 	}
 	request := &forward.Request{
-		ID:      e.ID,
-		Method:  r.Method,
-		Target:  r.RequestURI,
-		Host:    r.Host,
-		Header:  EndToEnd(r.Header),
-		Body:    body,
-		Arrived: e.Arrived,
+		ID:          e.ID,
+		Method:      r.Method,
+		Target:      r.RequestURI,
+		Host:        r.Host,
+		Header:      EndToEnd(r.Header),
+		Body:        body,
+		Arrived:     e.Arrived,
+		NetworkTime: e.NetworkTime,
 	}
 	if e.CallerTimeout > 0 {
 		request.Deadline = e.Arrived.Add(e.CallerTimeout)
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -62,11 +62,11 @@
 	next := &ranking{view: v, byZone: make(map[string][]Member)}
 	for zone, usable := range v.usable {
 		if zone != "" {
-			next.byZone[zone] = topRanked(self.ID, usable)
+			next.byZone[zone] = topRanked(self.ID, strongest(usable))
 		}
 	}
 	next.stronger = topRanked(self.ID, slices.DeleteFunc(slices.Clone(v.usable[self.Zone]), func(m Member) bool {
-		return float64(m.Millicores) < strongerFactor*float64(self.Millicores)
+		return !muchStronger(m, self)
 	}))
 	r.ranking = next
 	return next
@@ -106,6 +106,18 @@
 	return sorted[:min(relaysPerZone, len(sorted))]
 }
 
+// strongest returns the members to which no other one is much stronger. A weak relay takes so long
+// to call the servers of all shards that urgent answers miss its parts.
+func strongest(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
+		return slices.ContainsFunc(members, func(other Member) bool { return muchStronger(other, m) })
+	})
+}
+
+func muchStronger(member, than Member) bool {
+	return member.Millicores > than.Millicores && float64(member.Millicores) >= strongerFactor*float64(than.Millicores)
+}
+
 // inOtherZones returns the relays of all other zones.
 func (r *Relays) inOtherZones() []Member {
 	self := r.members.Self().Zone
@@ -143,6 +155,8 @@
 
 func (r *relay) ID() string { return r.member.ID }
 
+func (r *relay) Stronger() bool { return muchStronger(r.member, r.relays.members.Self()) }
+
 func (r *relay) Failed() { r.relays.members.RecordCall(r.member.ID, false) }
 
 func (r *relay) Gather(ctx context.Context, call *forward.PartsCall, accepted func(), receive func(*forward.PartsResult)) error {
@@ -188,6 +202,7 @@
 		Extra:        call.ChargedBySender,
 		Merge:        call.Merge,
 		SameZone:     call.SameZone,
+		Zones:        call.Zones,
 	}
 	for name, values := range request.Header {
 		for _, value := range values {
@@ -219,10 +234,10 @@
 		},
 		Route:           m.GetRoute(),
 		Services:        m.GetServices(),
-		Top:             int(m.GetTop()),
-		MaxAttempts:     int(m.GetMaxAttempts()),
+		Top:             bounded(m.GetTop(), maxTop),
+		MaxAttempts:     bounded(m.GetMaxAttempts(), maxAttempts),
 		Priority:        int(m.GetPriority()),
-		MaxMissingShare: float64(m.GetMissable()),
+		MaxMissingShare: shareOf(m.GetMissable()),
 		Target:          fromMilliseconds(m.GetTargetMs()),
 		Cutoff:          now.Add(fromMilliseconds(m.GetCutoffMs())),
 		Deadline:        deadline,
@@ -230,9 +245,10 @@
 		ChargedBySender: m.GetExtra(),
 		Merge:           m.GetMerge(),
 		SameZone:        m.GetSameZone(),
+		Zones:           m.GetZones(),
 	}
 	for _, n := range m.GetConnections() {
-		call.MaxConnections = append(call.MaxConnections, int(n))
+		call.MaxConnections = append(call.MaxConnections, bounded(n, maxConnections))
 	}
 	return call
 }
@@ -261,16 +277,16 @@
 	result := &forward.PartsResult{
 		Final:    m.GetFinal(),
 		Body:     m.GetBody(),
-		Attempts: int(m.GetAttempts()),
-		Hedges:   int(m.GetHedges()),
-		Retries:  int(m.GetRetries()),
+		Attempts: bounded(m.GetAttempts(), math.MaxInt32),
+		Hedges:   bounded(m.GetHedges(), math.MaxInt32),
+		Retries:  bounded(m.GetRetries(), math.MaxInt32),
 	}
 	for _, p := range m.GetParts() {
-		result.Parts = append(result.Parts, forward.Part{Index: int(p.GetIndex()), Proof: p.GetProof(), Body: p.GetBody()})
+		result.Parts = append(result.Parts, forward.Part{Index: bounded(p.GetIndex(), math.MaxInt32), Proof: p.GetProof(), Body: p.GetBody()})
 	}
 	for _, l := range m.GetLost() {
 		result.Lost = append(result.Lost, forward.LostPart{
-			Index: int(l.GetIndex()), Arrivals: int(l.GetArrivals()), MayRun: l.GetMayRun(), ExpiredServers: l.GetAgain(), Event: l.GetEvent(),
+			Index: bounded(l.GetIndex(), math.MaxInt32), Arrivals: bounded(l.GetArrivals(), maxAttempts), MayRun: l.GetMayRun(), ExpiredServers: l.GetAgain(), Event: l.GetEvent(),
 		})
 	}
 	if m.GetSuspect() != nil {
@@ -280,6 +296,9 @@
 	return result
 }
 
-func toMilliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+// toMilliseconds returns 0 for a negative time and the largest uint32, 49 days, for a longer one.
+func toMilliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
 
 func fromMilliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -140,11 +140,19 @@
 		return nil
 	})
 	r.registry.Func("store_calls", func() any { return r.follower.StoreCalls().Counts() })
+	r.registry.Func("rejected_items", func() any { return r.follower.Rejected() })
 	r.registry.Func("view_age_ms", func() any { return r.follower.Age().Milliseconds() })
 	r.registry.Func("backend_servers", func() any {
 		staying, leaving := r.directory.Count()
 		return map[string]int{"staying": staying, "leaving": leaving}
 	})
+	r.registry.Func("drained_zones", func() any {
+		seconds := make(map[string]int64) // since when, by zone
+		for _, z := range r.directory.DrainedZones() {
+			seconds[z.Zone] = int64(time.Since(z.Since).Seconds())
+		}
+		return seconds
+	})
 	r.registry.Func("backend_connections", func() any { return r.sender.Connections() })
 	r.registry.Func("requests_in_flight", func() any { return r.lifecycle.InFlight() })
 	r.registry.Func("log_records_dropped", func() any { return r.options.DroppedLogs() })
@@ -156,19 +164,26 @@
 	relays := peering.NewRelays(r.members, r.client)
 	tracker := suspects.NewTracker(r.logSuspect)
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
-	servers := r.newServerTracker()
+	observed := r.newServerTracker()
+	observed.WarmUps = r.warmUp
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
-		Tracker:          servers,
+		Tracker:          observed,
 		Suspects:         tracker,
 		Budget:           r.budget,
 		Client:           r.sender,
 		Zone:             s.Instance.Zone,
+		Cores:            s.Cores,
+		Regions:          s.Zones,
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
 		OnSuspect:        r.reporter.Report,
 	})
+	r.registry.Func("services_short", func() any {
+		short, severe := engine.ShortServices()
+		return map[string]int{"short": short, "severe": severe}
+	})
 	r.warmer = &warmer{zone: s.Instance.Zone, directory: r.directory, follower: r.follower, engine: engine, sender: r.sender}
 	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.reporter, r.seeds)
 	peerHandler := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
@@ -183,6 +198,7 @@
 		r.addListener(callerListener, s.Listen.Caller, &http.Server{
 			Handler:                      r.lifecycle.Handler(front),
 			BaseContext:                  r.lifecycle.BaseContext,
+			ConnContext:                  gateway.ConnContext,
 			ConnState:                    r.idleCloser.ConnState,
 			ReadHeaderTimeout:            readHeaderTimeout,
 			MaxHeaderBytes:               maxHeaderBytes,
@@ -191,6 +207,17 @@
 	)
 }
 
+// warmUp returns what the table in force states of a service's cold servers.
+func (r *Instance) warmUp(service string) replicas.WarmUp {
+	table := r.follower.Table()
+	if table == nil {
+		return replicas.WarmUp{}
+	}
+	known, _ := table.Service(service)
+	bounds := r.options.Settings.Bounds
+	return replicas.WarmUp{Time: known.WarmUp, Rate: replicas.ColdRate(known.WarmUpRate, bounds.WarmUpOverage, bounds.WarmUpSlack)}
+}
+
 // logServerChange logs a change in the health of a backend server as this instance
 // observes it.
 func (r *Instance) logServerChange(c replicas.Change) {
--- a/pkg/replicas/choose.go
+++ b/pkg/replicas/choose.go
@@ -32,13 +32,17 @@
 	AtLimit bool    // its concurrency limit allows no further attempt now
 	// ExpectedLatency is the estimated reply time of a limited server, 0 for one without a limit.
 	ExpectedLatency time.Duration
-	LimitedAndBusy  bool // it is limited, and full or running attempts; another attempt delays them
+	// FreeIn is the expected time until a server at its limit takes another attempt.
+	FreeIn time.Duration
+	// Limit is the number of attempts that the limit allows at once, 0 without one.
+	Limit          float64
+	LimitedAndBusy bool // it is limited, and full or running attempts; another attempt delays them
 	// Slow is set for a limited server that replies late even with one attempt at a time.
 	Slow       bool
 	AtCapacity bool // it runs as many attempts as its capacity
 	Ejected    bool // after consecutive failures, until the ejection ends
-	// RateDelay is how long an attempt has to wait for the rate limit that the server names,
-	// as far as this instance's share of it goes; 0 without a limit.
+	// RateDelay is how long an attempt has to wait for the rate limit that the server names, or
+	// that holds while it is cold, as far as this instance's share of it goes; 0 without a limit.
 	RateDelay time.Duration
 
 	base  float64 // score without penalties
@@ -89,10 +93,16 @@
 		return c, false
 	}
 	slowness := state.slowness
-	if now.Before(candidate.WarmAt) {
+	cold, coldRate := t.coldness(candidate, state.statedColdUntil, now)
+	if cold {
 		slowness = max(slowness, coldSlowness)
 	}
 	load := float64(len(state.running)) / float64(max(candidate.Capacity, 1))
+	if state.load.fresh(now) {
+		// The server knows the requests of all instances, this one those that it has sent since.
+		statedLoad, statedSlowness := state.load.busyness()
+		load, slowness = max(load, statedLoad), max(slowness, statedSlowness)
+	}
 	c.Score = slowness * (1 + load) * (1 + errorFactor*state.errorRate)
 	c.base = c.Score
 	if t.zones == nil && candidate.Zone != t.zone {
@@ -105,9 +115,11 @@
 	expected := time.Duration(max(state.slowness, 1) * float64(t.latencies[route].get()))
 	if state.limit.value != 0 {
 		c.ExpectedLatency = expected
+		c.Limit = state.limit.value
 	}
 	if state.limit.full(len(state.running), now.Sub(state.lastAttemptEnd), expected) {
 		c.AtLimit = true
+		c.FreeIn = state.freeIn(expected, now)
 		c.Score += limitedPenalty
 	}
 	c.Slow = state.limit.slow()
@@ -117,8 +129,9 @@
 		c.Ejected = true
 		c.Score += ejectedPenalty
 	}
-	if state.rate.limit != 0 {
-		share := t.sharing.RateShare(candidate.ID, candidate.Zone, state.rate.limit)
+	state.rate.setCold(coldRate, now)
+	if limit := state.rate.lowest(); limit != 0 {
+		share := t.sharing.RateShare(candidate.ID, candidate.Zone, limit)
 		state.rate.refill(share, now)
 		if c.RateDelay = state.rate.delay(share); c.RateDelay > 0 {
 			c.Score += ratePenalty + c.RateDelay.Seconds()
--- a/pkg/replicas/standing.go
+++ b/pkg/replicas/standing.go
@@ -37,6 +37,7 @@
 // reasonsLocked returns what raises the score of a candidate or excludes it.
 func (t *Tracker) reasonsLocked(s *Standing, now time.Time) []string {
 	var reasons []string
+	cold, _ := t.coldness(s.Server, s.state.statedColdUntil, now)
 	for _, reason := range []struct {
 		applies bool
 		text    string
@@ -47,7 +48,7 @@
 		{s.RateDelay > 0, "rate limit used up"},
 		{s.AtLimit, "at its concurrency limit"},
 		{s.Stalled, "stalled"},
-		{now.Before(s.Server.WarmAt), "cold"},
+		{cold, "cold"},
 		{s.Server.Leaving(), "leaving"},
 		{s.state.errorRate > 0.05, "refuses or fails attempts"},
 		{s.state.slowness > 1.5, "slow"},
--- a/pkg/replicas/zones.go
+++ b/pkg/replicas/zones.go
@@ -224,7 +224,7 @@
 			ratio = relayed
 		}
 	}
-	if now.Before(choice.Server.WarmAt) {
+	if cold, _ := t.coldness(choice.Server, state.statedColdUntil, now); cold {
 		ratio = max(ratio, coldSlowness)
 	}
 	expected := usual * ratio
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -28,7 +28,7 @@
 		Store:       "10.200.1.7:8102",
 		Memory:      284 << 20,
 		Cores:       0.4,
-		Bounds:      RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second},
+		Bounds:      RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second, WarmUpOverage: 1},
 		ZoneTraffic: ZoneTraffic{Adaptive: true, CostPerKiB: 10 * time.Millisecond},
 	})
 }
@@ -43,6 +43,14 @@
 	assert.ErrorContains(t, err, "zone_traffic.cost_per_kib")
 }
 
+// Guards against settings of the warm-up that are required or read into other fields.
+func TestRelayWarmUpSettings(t *testing.T) {
+	got, err := ParseRelay("relay.yaml", []byte(strings.Replace(relayYAML, "drain:", "warmup_overage: 1.5, warmup_slack: 5, drain:", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Bounds.WarmUpOverage, 1.5)
+	assert.Equal(t, got.Bounds.WarmUpSlack, 5.0)
+}
+
 // Guards against reporting one finding at a time, or none.
 func TestRelaySettingsReportEveryFinding(t *testing.T) {
 	broken := strings.NewReplacer("cores: 0.4", "cores: -1", "grace: 6s", "grace: 6", "10.200.1.7:8102", "store", "zone: a", "zone: 7").Replace(relayYAML)
@@ -52,3 +60,22 @@
 	}
 	assert.Equal(t, strings.Count(err.Error(), "\n"), 3)
 }
+
+// Guards against a region of a zone that is not read, and against settings of a deployment that
+// states no regions and is refused.
+func TestRelayZones(t *testing.T) {
+	for text, zones := range map[string]map[string]string{
+		"zones: {\"z0\": \"r1\", \"z1\": \"r2\"}\n": {"z0": "r1", "z1": "r2"},
+		"zones: \n":     nil,
+		"zones: null\n": nil,
+		"":              nil,
+	} {
+		got, err := ParseRelay("relay.yaml", []byte(relayYAML+text))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got.Zones, zones)
+	}
+	for _, broken := range []string{"zones: [z0]\n", "zones: {z0: 1}\n", "zones: {z0: ''}\n"} {
+		_, err := ParseRelay("relay.yaml", []byte(relayYAML+broken))
+		assert.ErrorContains(t, err, "zones")
+	}
+}
