--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -22,8 +22,8 @@
 	ended       atomic.Bool // the caller has its answer, or the sender its result
 	// reportDue is set when the losses are to be reported after the last attempt has ended.
 	reportDue atomic.Bool
-	// probes counts the attempts that began under suspicion. Only the goroutine of the request
-	// uses it.
+	// probes counts the attempts that began under suspicion and that a server may have run. Only
+	// the goroutine of the request uses it.
 	probes int
 }
 
@@ -52,7 +52,7 @@
 	return &crashSuspicion{
 		engine:      e,
 		sharded:     sharded,
-		fingerprint: crashguard.Fingerprint(request.Host, request.Method, request.Target, string(request.Body)),
+		fingerprint: crashguard.FingerprintWithBody(request.Body, request.Host, request.Method, request.Target),
 	}
 }
 
@@ -179,7 +179,9 @@
 	return rand.N(probeSpread*len(r.shardRequests)) == 0
 }
 
-// uncountProbe takes back an attempt that has reached no server.
+// uncountProbe takes back an attempt that no server has run: a server that a crashing request
+// has taken down refuses the connection. Such an attempt runs alone, so that the result of
+// another one cannot be taken for its own.
 func (c *crashSuspicion) uncountProbe() { c.probes = max(c.probes-1, 0) }
 
 // isBarred reports whether the request may not reach any further server, also not with
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/sycamorelift/sycamorelift/pkg/replicas"
 	"github.com/sycamorelift/sycamorelift/pkg/retrybudget"
 	"github.com/sycamorelift/sycamorelift/pkg/settings"
+	"github.com/sycamorelift/sycamorelift/pkg/shedding"
 	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 	"github.com/sycamorelift/sycamorelift/pkg/telemetry"
 )
@@ -139,6 +140,7 @@
 		}
 		return nil
 	})
+	r.registry.Func("full_reads", func() any { return r.follower.FullReads().Counts() })
 	r.registry.Func("store_calls", func() any { return r.follower.StoreCalls().Counts() })
 	r.registry.Func("rejected_items", func() any { return r.follower.Rejected() })
 	r.registry.Func("view_age_ms", func() any { return r.follower.Age().Milliseconds() })
@@ -178,6 +180,7 @@
 		Relays:           relays,
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
+		OnOverload:       r.logOverload,
 		OnSuspect:        r.reporter.Report,
 	})
 	r.registry.Func("services_short", func() any {
@@ -188,7 +191,11 @@
 	r.exchanger = peering.NewExchanger(r.members, r.client, relays, r.reporter, r.seeds)
 	peerHandler := peering.NewServer(r.exchanger, r.follower, engine, r.logger)
 	recorder := gateway.NewRecorder(r.logger, r.registry, r.follower.Age)
-	front := gateway.New(r.options.Codec, r.follower, engine, recorder)
+	requests := shedding.NewBytes(s.RequestBytes)
+	answers := gateway.NewAnswerWriter(s.AnswerBytes, r.logger)
+	r.registry.Func("request_bytes", func() any { return requests.Held() })
+	r.registry.Func("answer_bytes", func() any { return answers.Held() })
+	front := gateway.New(r.options.Codec, r.follower, engine, recorder, requests, answers)
 	r.lifecycle = lifecycle.New(r.lifecycleConfig(front.RefuseShutdown))
 	r.idleCloser = gateway.NewIdleCloser(r.idleTimeout)
 	return errors.Join(
@@ -245,6 +252,16 @@
 	r.logger.Info(message, "route", c.Route, "late_share", c.Share, "missable_share", c.MaxMissingShare)
 }
 
+// logOverload logs when requests are refused because the servers cannot do the work, and when that
+// is over.
+func (r *Instance) logOverload(active bool) {
+	if active {
+		r.logger.Warn("overload of backend servers, refusing requests beyond what is in time")
+		return
+	}
+	r.logger.Info("requests no longer refused for overload")
+}
+
 func (r *Instance) idleTimeout() time.Duration {
 	if table := r.follower.Table(); table != nil {
 		return table.Limits().IdleTimeout
