--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -56,6 +56,9 @@
 	mergedBodies [][]byte        // merged parts that relays have sent
 	relayZone    string          // zone whose relay gets the shards without a server in this zone
 
+	// zoneDraw decides with the share of a service whether its first attempt leaves this
+	// zone. It is the same for all shards, so that those which leave share a message.
+	zoneDraw float64
 	wake     chan struct{} // gets a value when a waiting attempt may have capacity
 	returned bool          // the request came back after a refusal
 
@@ -78,6 +81,7 @@
 		crashes:        newCrashSuspicion(e, request, route.Sharded()),
 		timing:         newTiming(route, request, e.latencyEstimate(route), e.ownWork),
 		shardRequests:  make([]*shardRequest, len(services)),
+		zoneDraw:       e.tracker.DrawZone(route.Name),
 		allowedZones:   e.allowedZones(route),
 	}
 	servers := 0
@@ -125,7 +129,9 @@
 	}
 	var answer *Answer
 	done := func(now time.Time) bool {
-		answer = r.decideAnswer(now)
+		if answer = r.decideAnswer(now); answer != nil {
+			r.recordMissingParts(now)
+		}
 		return answer != nil
 	}
 	switch {
--- a/pkg/forward/allowedzones_test.go
+++ b/pkg/forward/allowedzones_test.go
@@ -74,8 +74,8 @@
 				answer, _ := tb.ask(background, route)
 				assert.Assert(t, answer.Refusal == nil)
 				assert.Equal(t, answer.Trace.Attempts, tb.arrivalCount()) // none is chosen and then not sent
-				assert.Equal(t, relay.calls > 0, name == "abroad")
-				assert.Equal(t, home.calls > 0, name == "home")
+				assert.Equal(t, relay.calls.Load() > 0, name == "abroad")
+				assert.Equal(t, home.calls.Load() > 0, name == "home")
 				assert.Equal(t, tb.reached(".b"), name == "abroad")
 				assert.Equal(t, tb.reached(".c"), name == "home")
 			})
--- a/pkg/forward/drainedzone_test.go
+++ b/pkg/forward/drainedzone_test.go
@@ -186,7 +186,7 @@
 		answer, _ := tb.ask(background, route)
 		assert.Assert(t, answer.Refusal == nil)
 		assert.Equal(t, answer.Merged.Missing, 0)
-		assert.Equal(t, relay.calls, 1)
+		assert.Equal(t, relay.calls.Load(), int32(1))
 		assert.Assert(t, tb.reached(".c") && !tb.reached(".b"))
 	})
 }
--- a/pkg/forward/launch.go
+++ b/pkg/forward/launch.go
@@ -64,7 +64,7 @@
 		// Servers may have begun to leave since the request arrived.
 		s.servers = r.usableServers(s.service)
 	}
-	choice, ok := r.choose(s, now)
+	choice, ok := r.choose(s, why, now)
 	if !ok || why == hedge && (choice.Stalled || choice.AtLimit || choice.Ejected || r.wouldBeLate(choice, now)) {
 		return false
 	}
@@ -115,9 +115,11 @@
 	if !s.countedInBudget {
 		s.countedInBudget = true
 		if zone, relay := r.relayFor(s, choice.Server, why); relay != nil {
+			r.engine.tracker.RecordFirst(zone, now)
 			r.enqueue(s, zone, relay, false, now)
 			return
 		}
+		r.engine.tracker.RecordFirst(choice.Server.Zone, now)
 		r.engine.budget.CountRequest(s.service, now)
 	}
 	r.sendAttempt(s, choice, now)
@@ -251,12 +253,32 @@
 // choose selects the server for the next attempt. It prefers servers that stay over those
 // that are leaving. Servers of a zone that has just returned get a rising share of the
 // choices, and those that no other server can take.
-func (r *activeRequest) choose(s *shardRequest, now time.Time) (replicas.Choice, bool) {
+func (r *activeRequest) choose(s *shardRequest, why purpose, now time.Time) (replicas.Choice, bool) {
 	tracker := r.engine.tracker
 	candidates := tracker.WithoutReturning(s.servers, s.returnDraw, now)
+	if len(candidates) == len(s.servers) {
+		return r.chooseAmong(s, candidates, why, now)
+	}
+	// What the return of a zone keeps out says nothing about the share that leaves.
 	choice, ok := tracker.Choose(candidates, r.route.Name, s.wasTried, now)
-	if len(candidates) < len(s.servers) && (!ok || choice.Stalled || choice.AtLimit || choice.Ejected || choice.RateDelay > 0) {
-		choice, ok = tracker.Choose(s.servers, r.route.Name, s.wasTried, now)
+	if !ok || choice.Stalled || choice.AtLimit || choice.Ejected || choice.RateDelay > 0 {
+		return r.chooseAmong(s, s.servers, why, now)
+	}
+	return choice, true
+}
+
+// chooseAmong selects among servers, and among those that are leaving if there is no other.
+func (r *activeRequest) chooseAmong(s *shardRequest, servers []*directory.Server, why purpose, now time.Time) (replicas.Choice, bool) {
+	tracker := r.engine.tracker
+	var choice replicas.Choice
+	var ok bool
+	switch why {
+	case first:
+		choice, ok = tracker.ChooseFirst(servers, r.route.Name, r.zoneDraw, s.wasTried, now)
+	case hedge:
+		choice, ok = tracker.ChooseHedge(servers, r.route.Name, s.wasTried, now)
+	default:
+		choice, ok = tracker.Choose(servers, r.route.Name, s.wasTried, now)
 	}
 	if ok {
 		return choice, true
@@ -271,7 +293,8 @@
 	s.inFlight++
 	state := &runstate.State{}
 	s.sending = append(s.sending, state)
-	s.lastStarted = now
+	// The hedge delay is for the work of the server.
+	s.lastStarted = now.Add(r.engine.tracker.RoundTrip(server))
 	r.trace.Attempts++
 	r.refCount.Add(1)
 	due := r.timing.usefulUntil(r.route, now)
@@ -333,6 +356,7 @@
 	res.expired = r.route.Sharded() && reply != nil && !reply.success() && !reply.Misdirected && !now.Before(call.Until)
 	if reply != nil && !reply.Misdirected {
 		tracked.Observe(reply.Notice, now)
+		r.engine.tracker.RecordExchange(r.route.Name, exchangeBytes(r.request, reply))
 		if reply.Notice.Leaving {
 			r.engine.directory.MarkLeaving(call.Server)
 		}
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,10 +18,11 @@
 // testRelay is another instance: an engine in the remote zone with the same servers.
 type testRelay struct {
 	engine             *Engine
-	calls              int
+	calls              atomic.Int32
 	failed             int
 	silent             bool // never accepts a call
 	diesAfterAccepting bool // is killed after it has accepted a call
+	stopsWork          bool // gets no processor time after it has accepted a call
 	refused            error
 	stronger           bool // has much more processor time than the sender
 }
@@ -42,7 +44,7 @@
 func (relay *testRelay) Stronger() bool { return relay.stronger }
 
 func (relay *testRelay) Gather(ctx context.Context, call *PartsCall, accepted func(), receive func(*PartsResult)) error {
-	relay.calls++
+	relay.calls.Add(1)
 	time.Sleep(oneWay)
 	switch {
 	case relay.refused != nil:
@@ -53,8 +55,12 @@
 	}
 	time.Sleep(oneWay)
 	accepted()
-	if relay.diesAfterAccepting {
+	switch {
+	case relay.diesAfterAccepting:
 		return errors.New("connection lost")
+	case relay.stopsWork:
+		<-ctx.Done()
+		return ctx.Err()
 	}
 	request := *call.Request
 	request.Arrived = time.Now()
@@ -87,7 +93,7 @@
 		assert.Equal(t, len(answer.Merged.Proofs), 20)
 		assert.Equal(t, len(answer.Merged.Body), 10*16)
 		assert.Equal(t, took, 2*oneWay+work)
-		assert.Equal(t, relay.calls, 1)
+		assert.Equal(t, relay.calls.Load(), int32(1))
 		assert.Equal(t, tb.arrivalCount(), 20)
 	})
 }
@@ -199,7 +205,7 @@
 		var parts []Part
 		assert.Assert(t, tb.engine.Gather(background, call, func(r *PartsResult) { parts = append(parts, r.Parts...) }))
 		assert.Equal(t, len(parts), 5)
-		assert.Equal(t, relay.calls, 0)
+		assert.Equal(t, relay.calls.Load(), int32(0))
 	})
 }
 
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -39,6 +39,7 @@
 	shardRequests []*shardRequest
 	resolved      []bool // by index of shardRequests: its part has arrived or is lost
 	extra         bool   // hedges, which are charged to the budget
+	sampled       bool   // the parts come one by one, and their times are recorded
 	started       time.Time
 	extended      bool // the acceptance timeout was extended to the cutoff
 	accepted      bool
@@ -79,6 +80,8 @@
 }
 
 func (r *activeRequest) sendRelayCall(rc *relayCall) {
+	// Without a server in this zone there is no choice that the times could inform.
+	rc.sampled = !rc.extra && hasServerIn(rc.shardRequests[0].servers, r.engine.zone) && r.engine.tracker.SampleRelay(rc.zone, rc.started)
 	call := &PartsCall{
 		Request:         r.request,
 		Route:           r.route.Name,
@@ -92,7 +95,8 @@
 		Deadline:        r.timing.deadline,
 		HedgeAfter:      r.relayHedgeDelay(),
 		ChargedBySender: rc.extra,
-		Merge:           !rc.extra,
+		Merge:           !rc.extra && !rc.sampled,
+		SameZone:        rc.zone == r.engine.zone,
 	}
 	if rc.extra {
 		call.MaxAttempts = 1
@@ -192,6 +196,9 @@
 			continue
 		}
 		s.inFlight--
+		if !rc.extended { // else this instance got no processor time
+			r.recordRelayed(rc, s, false)
+		}
 		s.directOnly = true
 		s.mayHaveRun = s.mayHaveRun || asked > 0
 		if asked == 0 {
@@ -253,8 +260,9 @@
 }
 
 func (r *activeRequest) handleParts(rc *relayCall, result *PartsResult) {
+	now := time.Now()
 	if len(result.Parts) > 0 {
-		r.crashes.recordReply(time.Now())
+		r.crashes.recordReply(now)
 	}
 	if result.Suspect != nil {
 		r.crashes.merge(*result.Suspect)
@@ -268,6 +276,10 @@
 			continue
 		}
 		s.inFlight--
+		r.recordRelayed(rc, s, true)
+		if rc.sampled {
+			r.engine.tracker.RecordRelayedTime(s.service, rc.zone, r.route.Name, now.Sub(rc.started), now)
+		}
 		if s.isComplete() {
 			continue
 		}
@@ -294,6 +306,7 @@
 			continue
 		}
 		s.inFlight--
+		r.recordRelayed(rc, s, false)
 		s.directOnly = true
 		s.arrivals += lost.Arrivals - 1
 		s.mayHaveRun = s.mayHaveRun || lost.MayRun
@@ -306,6 +319,28 @@
 	}
 }
 
+// recordRelayed records whether a zone has delivered a part before the cutoff. Hedges do not
+// count: they start late.
+func (r *activeRequest) recordRelayed(rc *relayCall, s *shardRequest, delivered bool) {
+	if now := time.Now(); !rc.extra {
+		r.engine.tracker.RecordRelayed(s.service, rc.zone, delivered && now.Before(r.timing.cutoff), now)
+	}
+}
+
+// recordMissingParts records the parts that relays still lack when the answer goes out.
+func (r *activeRequest) recordMissingParts(now time.Time) {
+	if now.Before(r.timing.cutoff) {
+		return
+	}
+	for _, rc := range r.relayCalls {
+		for i, s := range rc.shardRequests {
+			if rc.accepted && !rc.ended && !rc.resolved[i] {
+				r.recordRelayed(rc, s, false)
+			}
+		}
+	}
+}
+
 // resolve returns the shard request for the first result with this index, and nil for
 // later results and for an index that the call does not have.
 func (rc *relayCall) resolve(index int) *shardRequest {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -166,7 +166,7 @@
 	relays := peering.NewRelays(r.members, r.client)
 	tracker := suspects.NewTracker(r.logSuspect)
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
-	observed := replicas.New(s.Instance.Zone, r.members, r.logServerChange)
+	observed := r.newServerTracker()
 	observed.WarmUps = r.warmUp
 	replies := shedding.NewBytes(s.ReplyBytes)
 	r.registry.Func("reply_bytes", func() any { return replies.Held() })
@@ -202,7 +202,7 @@
 	r.lifecycle = lifecycle.New(r.lifecycleConfig(front.RefuseShutdown))
 	r.idleCloser = gateway.NewIdleCloser(r.idleTimeout)
 	return errors.Join(
-		r.addListener("operator", s.Listen.Operator, &http.Server{Handler: r.registry.Handler()}),
+		r.addListener("operator", s.Listen.Operator, &http.Server{Handler: r.operatorHandler(engine)}),
 		r.addListener("peer", s.Listen.Peer, &http.Server{Handler: r.lifecycle.PeerHandler(peerHandler)}),
 		r.addListener("readiness", s.Listen.Readiness, &http.Server{Handler: r.lifecycle.Readiness()}),
 		r.addListener(callerListener, s.Listen.Caller, &http.Server{
--- a/pkg/replicas/attempt.go
+++ b/pkg/replicas/attempt.go
@@ -100,10 +100,16 @@
 	a.server.age(now)
 	a.server.lastAttemptEnd = now
 	latency := a.tracker.latencyLocked(a.route)
-	ratio := float64(took) / float64(latency.get())
+	serverTime := a.tracker.withoutWay(a.target, took)
+	ratio := float64(serverTime) / float64(latency.get())
+	usualRatio := float64(serverTime) / float64(latency.usualOrTypical())
+	if outcome == Answered || (outcome == Expired || outcome == Abandoned) && usualRatio > a.server.usualRatio {
+		recordRatio(&a.server.usualRatio, usualRatio)
+	}
 	switch outcome {
 	case Answered:
-		latency.record(took)
+		latency.record(serverTime)
+		latency.usual.observe(latency.get(), now)
 		a.server.recordSlowness(ratio)
 		a.server.recordError(false)
 		a.server.recordSuccess()
--- a/pkg/replicas/tracker.go
+++ b/pkg/replicas/tracker.go
@@ -26,6 +26,7 @@
 	zone     string // this instance's availability zone
 	sharing  RateSharing
 	onChange func(Change) // called without locks held
+	zones    *zones       // nil if remoteZoneFactor decides about other zones
 
 	// WarmUps returns what the table states of a service's cold servers. It is set before the
 	// tracker is used; nil states nothing.
@@ -104,6 +105,9 @@
 		return
 	}
 	t.lastSweep = now
+	if t.zones != nil {
+		t.zones.sweepRelayed(now)
+	}
 	for key, s := range t.servers {
 		if len(s.running) == 0 && now.Sub(s.lastAccess) >= forgetAfter {
 			delete(t.servers, key)
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -24,6 +24,8 @@
 	MaxRequestBytes int64
 	Bounds          RelayBounds
 	Zones           map[string]string // region of each availability zone; nil if not stated
+	// ZoneTraffic is optional.
+	ZoneTraffic ZoneTraffic
 }
 
 // RelayListen holds the addresses to listen on, each as IP:port.
@@ -122,6 +124,8 @@
 	o.Optional("cores").Float(&s.Cores, coresRange)
 	s.Bounds.read(o.Required("bounds"))
 	readZones(o.Optional("zones"), &s.Zones)
+	s.ZoneTraffic = defaultZoneTraffic()
+	s.ZoneTraffic.read(o.Optional("zone_traffic"))
 	o.Close()
 }
 
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -22,16 +22,27 @@
 	got, err := ParseRelay("relay.yaml", []byte(relayYAML))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, *got, Relay{
-		Instance: Instance{ID: "edge-a-1", Zone: "a", Region: "r"},
-		Listen:   RelayListen{Caller: "10.1.0.9:8104", Readiness: "10.1.0.9:8108", Peer: "10.1.0.9:8106", Operator: "10.1.0.9:9464"},
-		Seeds:    []string{"10.1.0.9:8106"},
-		Store:    "10.200.1.7:8102",
-		Memory:   284 << 20,
-		Cores:    0.4,
-		Bounds:   RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second, WarmUpOverage: 1},
+		Instance:    Instance{ID: "edge-a-1", Zone: "a", Region: "r"},
+		Listen:      RelayListen{Caller: "10.1.0.9:8104", Readiness: "10.1.0.9:8108", Peer: "10.1.0.9:8106", Operator: "10.1.0.9:9464"},
+		Seeds:       []string{"10.1.0.9:8106"},
+		Store:       "10.200.1.7:8102",
+		Memory:      284 << 20,
+		Cores:       0.4,
+		Bounds:      RelayBounds{Drain: 3 * time.Second, Grace: 6 * time.Second, ExtraRatio: 0.2, ExtraAllowance: 54, ExtraWindow: 10 * time.Second, WarmUpOverage: 1},
+		ZoneTraffic: ZoneTraffic{CostPerKiB: 10 * time.Millisecond},
 	})
 }
 
+// Guards against a switch or a cost between zones that has no effect, and against a cost
+// without a unit.
+func TestZoneTraffic(t *testing.T) {
+	got, err := ParseRelay("relay.yaml", []byte(relayYAML+"zone_traffic: {adaptive: true, cost_per_kib: 2500us}\n"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.ZoneTraffic, ZoneTraffic{Adaptive: true, CostPerKiB: 2500 * time.Microsecond})
+	_, err = ParseRelay("relay.yaml", []byte(relayYAML+"zone_traffic: {cost_per_kib: 2}\n"))
+	assert.ErrorContains(t, err, "zone_traffic.cost_per_kib")
+}
+
 // Guards against settings of the warm-up that are required or read into other fields.
 func TestRelayWarmUpSettings(t *testing.T) {
 	got, err := ParseRelay("relay.yaml", []byte(strings.Replace(relayYAML, "drain:", "warmup_overage: 1.5, warmup_slack: 5, drain:", 1)))
