forward: requests are refused in an overload only where the settings say so

Change: the setting refuse_in_overload, off by default, switches admission and the refusal for required shards without capacity on; the two tests of these set it.

--- a/pkg/forward/decision.go
+++ b/pkg/forward/decision.go
@@ -117,7 +117,7 @@
 		case ok && choice.RateDelay > r.maxRateDelay(now) && !r.isRelayed(s, choice.Server, first):
 			limited = append(limited, choice.RateDelay-r.maxRateDelay(now))
 		case ok && r.route.Sharded():
-			if d, full := r.demand(s, choice, now); full && d.TooLate() {
+			if d, full := r.demand(s, choice, now); full && r.engine.refuseInOverload && d.TooLate() {
 				waits = append(waits, d.Wait())
 			}
 		}
--- a/pkg/forward/engine.go
+++ b/pkg/forward/engine.go
@@ -25,6 +25,7 @@
 	lateness          *lateShares
 	client            BackendClient
 	zone              string
+	refuseInOverload  bool
 	ownWork           time.Duration     // see ownWorkTime
 	regions           map[string]string // by zone; empty if the settings name none
 	relays            Relays
@@ -43,7 +44,8 @@
 	RemoteInstances() int
 }
 
-// Config is the input of New. All fields but Cores and Regions are required.
+// Config is the input of New. All fields but Cores, Regions and
+// RefuseInOverload are required.
 type Config struct {
 	Directory        *directory.Directory
 	Tracker          *replicas.Tracker
@@ -58,6 +60,9 @@
 	OnLatenessChange func(LatenessChange) // called when the lateness of a route changes; must not block
 	// Replies bounds the bytes of the replies of servers that requests hold.
 	Replies *shedding.Bytes
+	// RefuseInOverload refuses requests at once that servers cannot answer in time, because they
+	// are overloaded or required shards have no capacity. Otherwise these are answered late.
+	RefuseInOverload bool
 	// OnOverload is called when this instance begins, and when it ceases, to refuse requests
 	// because the servers cannot do the work. It must not block.
 	OnOverload func(active bool)
@@ -76,6 +81,7 @@
 		weights:          routing.NewWeightedRoundRobin(),
 		replies:          config.Replies,
 		shedding:         shedding.NewPolicy(config.OnOverload),
+		refuseInOverload: config.RefuseInOverload,
 		lateness:         newLateShares(),
 		client:           config.Client,
 		zone:             config.Zone,
--- a/pkg/forward/overloadburst_test.go
+++ b/pkg/forward/overloadburst_test.go
@@ -13,6 +13,7 @@
 // servers can do half of what is asked for. Counted is what is answered within the target.
 func TestBurstBeyondAllServersIsRefusedInPart(t *testing.T) {
 	simulate(t, func(t *testing.T, tb *testbed) {
+		tb.engine.refuseInOverload = true
 		urgent := tb.shardedRoute(8, 0.75)
 		full := lessUrgent(urgent)
 		tb.warmUp(urgent)
--- a/pkg/forward/shedding_test.go
+++ b/pkg/forward/shedding_test.go
@@ -45,6 +45,7 @@
 // capacity in time, while their callers could try again.
 func TestBurstThatCannotBeServedInTimeIsRefusedAtOnce(t *testing.T) {
 	simulate(t, func(t *testing.T, tb *testbed) {
+		tb.engine.refuseInOverload = true
 		route := tb.shardedRoute(1, 1)
 		server := tb.onlyServer(route)
 		tb.occupySlots(server, route, 500*time.Millisecond, func() {})
--- a/pkg/forward/shortage.go
+++ b/pkg/forward/shortage.go
@@ -129,7 +129,7 @@
 // refuseIfNotAdmitted refuses a sharded request while earlier ones are late because servers lack
 // capacity, and this one is beyond the work that is done in time.
 func (r *activeRequest) refuseIfNotAdmitted(now time.Time) *Answer {
-	if !r.route.Sharded() {
+	if !r.engine.refuseInOverload || !r.route.Sharded() {
 		return nil
 	}
 	above, _ := r.engine.shedding.Classes.Rank(r.route.Priority, now)
@@ -147,7 +147,7 @@
 // recordAdmitted records whether the request has enough parts when its answer is due. A late one
 // counts only if so many parts are late that the servers are overloaded.
 func (r *activeRequest) recordAdmitted(now time.Time) {
-	if r.servesPeer {
+	if !r.engine.refuseInOverload || r.servesPeer {
 		return
 	}
 	inTime := r.answeredShards >= r.route.RequiredShards()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -183,6 +183,7 @@
 		Sharing:          r.members,
 		OnLatenessChange: r.logLateness,
 		Replies:          replies,
+		RefuseInOverload: s.RefuseInOverload,
 		OnOverload:       r.logOverload,
 		OnSuspect:        r.reporter.Report,
 	})
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -24,6 +24,8 @@
 	MaxRequestBytes int64
 	Bounds          RelayBounds
 	Zones           map[string]string // region of each availability zone; nil if not stated
+	// RefuseInOverload refuses requests at once that servers cannot answer in time.
+	RefuseInOverload bool
 	// ZoneTraffic is optional.
 	ZoneTraffic ZoneTraffic
 }
@@ -124,6 +126,7 @@
 	o.Optional("cores").Float(&s.Cores, coresRange)
 	s.Bounds.read(o.Required("bounds"))
 	readZones(o.Optional("zones"), &s.Zones)
+	o.Optional("refuse_in_overload").Bool(&s.RefuseInOverload)
 	s.ZoneTraffic = defaultZoneTraffic()
 	s.ZoneTraffic.read(o.Optional("zone_traffic"))
 	o.Close()
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -51,6 +51,16 @@
 	assert.Equal(t, got.Bounds.WarmUpSlack, 5.0)
 }
 
+// Guards against refusals in an overload that the settings do not ask for: on two deployments they
+// cost more requests in time than they saved.
+func TestRelayRefusesInOverloadOnRequest(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "refuse_in_overload: false\n": false, "refuse_in_overload: true\n": true} {
+		got, err := ParseRelay("relay.yaml", []byte(relayYAML+text))
+		assert.NilError(t, err)
+		assert.Equal(t, got.RefuseInOverload, want, text)
+	}
+}
+
 // Guards against a bound on bytes that is not taken over, and against none without the setting.
 func TestRelayBoundsOnBytes(t *testing.T) {
 	got, err := ParseRelay("relay.yaml", []byte(relayYAML))
