feed, forward: files by concept

Applying and serving the view, failures of sources, one attempt, and results of relays now have their own files.

--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -215,67 +215,6 @@
 // String names the service in the supervisor's log.
 func (f *Follower) String() string { return "store follower" }
 
-// applyAll puts a complete list of items in force.
-func (f *Follower) applyAll(b Batch, origin string) {
-	var entries []directory.Entry
-	var drainedZones []string
-	var table *routing.Table
-	var tableItem Item
-	for _, item := range b.Items {
-		decoded := f.decoder.Decode(item)
-		f.logDecodeError(item, decoded)
-		if decoded.Table != nil {
-			table, tableItem = decoded.Table, item
-		}
-		if decoded.Entry != nil {
-			decoded.Entry.Revision = item.Revision
-			entries = append(entries, *decoded.Entry)
-		}
-		if decoded.DrainedZone != "" && !item.Removed {
-			drainedZones = append(drainedZones, decoded.DrainedZone)
-		}
-	}
-	// Zones are drained before their servers are listed, and return after that, so that
-	// no server of a drained zone is in use in between.
-	for _, zone := range drainedZones {
-		f.logZoneChange(f.directory.DrainZone(zone), b.Position.Revision)
-	}
-	for _, change := range f.directory.Replace(entries) {
-		f.logChange(change, b.Position.Revision)
-	}
-	for _, change := range f.directory.ReturnOtherZones(drainedZones) {
-		f.logZoneChange(&change, b.Position.Revision)
-	}
-	// The table comes last: requests that wait for it need the backend servers as well.
-	f.adoptTable(tableItem, table, origin)
-	staying, leaving := f.directory.Count()
-	f.logger.Info("store read", "origin", origin, "era", b.Position.Era, "revision", b.Position.Revision, "backend_servers", staying, "leaving", leaving)
-}
-
-// applyChanges puts changed items in force.
-func (f *Follower) applyChanges(items []Item, origin string) {
-	for _, item := range items {
-		decoded := f.decoder.Decode(item)
-		f.logDecodeError(item, decoded)
-		f.adoptTable(item, decoded.Table, origin)
-		switch {
-		case decoded.DrainedZone != "" && item.Removed:
-			f.logZoneChange(f.directory.ReturnZone(decoded.DrainedZone), item.Revision)
-		case decoded.DrainedZone != "":
-			f.logZoneChange(f.directory.DrainZone(decoded.DrainedZone), item.Revision)
-		case decoded.ServerID == "":
-		case decoded.Entry == nil:
-			f.logChange(f.directory.Remove(decoded.ServerID), item.Revision)
-		default:
-			decoded.Entry.Revision = item.Revision
-			f.logChange(f.directory.Put(*decoded.Entry), item.Revision)
-		}
-	}
-	for _, id := range f.directory.Sweep() {
-		f.logger.Info("backend server forgotten", "backend_server", id)
-	}
-}
-
 // markReady closes ready once a table is known.
 func (f *Follower) markReady() {
 	if f.Table() == nil {
@@ -290,31 +229,6 @@
 	}
 }
 
-func (f *Follower) logChange(change directory.Change, revision int64) {
-	if change.Kind == directory.Unchanged {
-		return
-	}
-	f.logger.Info("backend server "+string(change.Kind), "backend_server", change.ID, "service", change.Service, "revision", revision)
-}
-
-// logZoneChange logs that a zone was drained or has returned; change is nil if nothing changed.
-func (f *Follower) logZoneChange(change *directory.ZoneChange, revision int64) {
-	if change == nil {
-		return
-	}
-	message := "zone returned"
-	if change.Drained {
-		message = "zone drained"
-	}
-	f.logger.Info(message, "zone", change.Zone, "backend_servers", change.Servers, "revision", revision)
-}
-
-func (f *Follower) logDecodeError(item Item, decoded Decoded) {
-	if decoded.Err != nil {
-		f.rejected.record(item, decoded.Err)
-	}
-}
-
 func (c clock) backoff(failures int) time.Duration {
 	delay := min(initialBackoff<<min(failures-1, 6), maxBackoff)
 	// Half of the delay is random, so that the instances do not call at the same time.
@@ -330,52 +244,6 @@
 	}
 }
 
-// AllItems returns all items that this instance knows, to be sent to another instance.
-// It returns false before the first complete read.
-func (f *Follower) AllItems() (Batch, bool) {
-	b, confirmed, ok := f.cache.all()
-	now := f.clock.now()
-	b.Age = viewAge(now, confirmed)
-	b.Restored = f.restored.state(now)
-	if b.Restored != nil && f.storeTableIsOlder() {
-		b.Restored.Table = &f.table.Load().item
-	}
-	return b, ok
-}
-
-// ChangesAfter returns the changes after a position, to be sent to another instance.
-// While this instance has lost the store, ChangesAfter returns at once with a stale age,
-// so that the followers of this instance change to another source.
-func (f *Follower) ChangesAfter(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
-	f.mu.Lock()
-	storeLost := f.storeLost
-	f.mu.Unlock()
-	b, confirmed, err := f.cache.waitForChanges(ctx, after, wait, storeLost)
-	b.Age = f.ageForPeers(confirmed, storeLost)
-	return b, err
-}
-
-// ageForPeers returns the age of a view that is sent to another instance: a stale one while
-// this instance has lost the store.
-func (f *Follower) ageForPeers(confirmed time.Time, storeLost <-chan struct{}) time.Duration {
-	age := viewAge(f.clock.now(), confirmed)
-	select {
-	case <-storeLost:
-		return max(age, maxPeerViewAge+time.Millisecond)
-	default:
-		return age
-	}
-}
-
-// viewAge returns the age of a view that was confirmed as of a time, which is zero before the
-// first confirmation.
-func viewAge(now, confirmed time.Time) time.Duration {
-	if confirmed.IsZero() {
-		return unconfirmedAge
-	}
-	return now.Sub(confirmed)
-}
-
 // tableConfirmable reports whether a confirmation of the table in force as of a time holds. It
 // does not if the store had been restored and its writers had not had the time to write again, or
 // if the store's table is older.
@@ -429,22 +297,6 @@
 	f.logger.Info("items held after a restore of the store released", "items", len(changes), "era", f.era.Load())
 }
 
-// setStoreLost records whether the store does not answer this instance.
-func (f *Follower) setStoreLost(lost bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	select {
-	case <-f.storeLost:
-		if !lost {
-			f.storeLost = make(chan struct{})
-		}
-	default:
-		if lost {
-			close(f.storeLost)
-		}
-	}
-}
-
 // isSourceFailure reports whether err means that the source failed. ErrHistoryGone does
 // not: the source answered, but no longer has the changes.
 func isSourceFailure(err error) bool { return err != nil && !errors.Is(err, ErrHistoryGone) }
