--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -93,7 +93,7 @@
 }
 
 // injectFaults starts faults, several at a time, until the end and waits for all.
-func (s *system) injectFaults(random *rand.Rand, until time.Time) (history []string) {
+func (s *system) injectFaults(random *rand.Rand, faults []fault, until time.Time) (history []string) {
 	began := time.Now()
 	for time.Now().Before(until) {
 		f := pick(random, faults)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -54,6 +55,8 @@
 	background sync.WaitGroup
 	mu         sync.Mutex
 	version    int
+	evacuated  map[string]bool   // by zone
+	era        int               // of the store
 	busy       map[*process]bool // being restarted
 }
 
@@ -81,7 +84,7 @@
 func newSystem(t *testing.T) *system {
 	file, err := binary()
 	assert.NilError(t, err)
-	s := &system{binary: file, store: platformtest.NewStore(10), busy: map[*process]bool{}}
+	s := &system{binary: file, store: platformtest.NewStore(10), busy: map[*process]bool{}, evacuated: map[string]bool{}}
 	t.Cleanup(s.store.Close)
 	for n, service := range append(shards(), "one") {
 		// Each service has servers in two of the three zones.
@@ -93,6 +96,7 @@
 			s.list(len(s.servers)-1, "ready")
 		}
 	}
+	s.nextEra()
 	s.publish()
 	s.startProcesses(t, 2, func(string) string { return s.proxy(t, s.store.Address()) })
 	return s
@@ -200,14 +204,14 @@
 // Guards against broken promises under faults that come in series and overlap.
 func TestSoak(t *testing.T) {
 	for n := range *seedCount {
-		t.Run(fmt.Sprint(*firstSeed+n), func(t *testing.T) { soak(t, *firstSeed+n) })
+		t.Run(fmt.Sprint(*firstSeed+n), func(t *testing.T) { soak(t, *firstSeed+n, slices.Concat(faults, operatorFaults)) })
 	}
 	for _, seed := range regressions {
-		t.Run(fmt.Sprint("regression-", seed), func(t *testing.T) { soak(t, seed) })
+		t.Run(fmt.Sprint("regression-", seed), func(t *testing.T) { soak(t, seed, faults) })
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+func soak(t *testing.T, seed uint64, faults []fault) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	s := newSystem(t)
 	s.awaitReady(t)
@@ -220,7 +224,7 @@
 			c.send(p.id, p.caller, rand.New(rand.NewPCG(random.Uint64(), 0)))
 		}
 	}
-	history := s.injectFaults(random, time.Now().Add(time.Duration(*seconds*float64(time.Second))))
+	history := s.injectFaults(random, faults, time.Now().Add(time.Duration(*seconds*float64(time.Second))))
 	s.awaitReady(t)
 	s.awaitComplete(t, c)
 	problems, answers := c.finish(s.servers)
