--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -89,13 +89,16 @@
 // AnswerBytes returns the bound on the bytes of answers that are being written.
 func (s *Relay) AnswerBytes() int64 { return int64(answerMemoryShare * float64(s.Memory)) }
 
-// LoadRelay reads and checks a settings file. The error is a finding.List with
-// everything that is wrong, unless the file can't be read.
-func LoadRelay(file string) (*Relay, error) {
+// LoadRelay reads and checks a settings file, with further lines that are read as if they were at
+// its end. The error is a finding.List with everything that is wrong, unless the file can't be read.
+func LoadRelay(file string, furtherLines ...string) (*Relay, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, eris.Wrap(err, "read settings")
 	}
+	for _, line := range furtherLines {
+		data = append(data, "\n"+line...)
+	}
 	return ParseRelay(file, data)
 }
 
@@ -125,6 +128,9 @@
 	s.Cores = 1
 	o.Optional("cores").Float(&s.Cores, coresRange)
 	s.Bounds.read(o.Required("bounds"))
+	s.Bounds.WarmUpOverage = 1
+	o.Optional("warmup_overage").Float(&s.Bounds.WarmUpOverage, overageRange)
+	o.Optional("warmup_slack").Float(&s.Bounds.WarmUpSlack, allowanceRange)
 	readZones(o.Optional("zones"), &s.Zones)
 	o.Optional("refuse_in_overload").Bool(&s.RefuseInOverload)
 	s.ZoneTraffic = defaultZoneTraffic()
@@ -149,8 +155,5 @@
 	o.Required("extra_ratio").Float(&b.ExtraRatio, ratioRange)
 	o.Required("extra_allowance").Float(&b.ExtraAllowance, allowanceRange)
 	o.Required("extra_window").Duration(&b.ExtraWindow, boundRange)
-	b.WarmUpOverage = 1
-	o.Optional("warmup_overage").Float(&b.WarmUpOverage, overageRange)
-	o.Optional("warmup_slack").Float(&b.WarmUpSlack, allowanceRange)
 	o.Close()
 }
--- a/pkg/settings/relay_test.go
+++ b/pkg/settings/relay_test.go
@@ -45,7 +45,7 @@
 
 // Guards against settings of the warm-up that are required or read into other fields.
 func TestRelayWarmUpSettings(t *testing.T) {
-	got, err := ParseRelay("relay.yaml", []byte(strings.Replace(relayYAML, "drain:", "warmup_overage: 1.5, warmup_slack: 5, drain:", 1)))
+	got, err := ParseRelay("relay.yaml", []byte(relayYAML+"warmup_overage: 1.5\nwarmup_slack: 5\n"))
 	assert.NilError(t, err)
 	assert.Equal(t, got.Bounds.WarmUpOverage, 1.5)
 	assert.Equal(t, got.Bounds.WarmUpSlack, 5.0)
