forward: a stronger relay that has not answered is not kept until the cutoff

Cause: an instance that hands its shards to a stronger one keeps it until the answer is due and counts two servers for each shard. A stronger instance that had lost power cost each sender two requests before it was suspected. Change: a relay whose latest call has failed hedges late again, as relays of other senders do, and is given up when it does not accept in time; the servers are then asked directly. TestRelayThatHasNotAnsweredIsNotKept fails before with a refusal.

--- a/pkg/forward/relay.go
+++ b/pkg/forward/relay.go
@@ -26,6 +26,8 @@
 	Gather(ctx context.Context, call *PartsCall, accepted func(), receive func(*PartsResult)) error
 	// Stronger reports whether the instance has much more processor time than this one.
 	Stronger() bool
+	// Answers reports whether the instance has answered the latest call of this one.
+	Answers() bool
 	// Failed records that the instance did not accept a call in time.
 	Failed()
 }
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -42,6 +42,7 @@
 func (relay *testRelay) ID() string     { return "peer" }
 func (relay *testRelay) Failed()        { relay.failed++ }
 func (relay *testRelay) Stronger() bool { return relay.stronger }
+func (relay *testRelay) Answers() bool  { return relay.failed == 0 }
 
 func (relay *testRelay) Gather(ctx context.Context, call *PartsCall, accepted func(), receive func(*PartsResult)) error {
 	relay.calls.Add(1)
@@ -350,3 +351,20 @@
 		assert.Assert(t, r.relayMargin(localZone) >= relayGrace, "parts that are sent late by relayGrace must still arrive")
 	})
 }
+
+// Guards against a second request that fails because a dead stronger instance is kept as relay
+// until the answer is due: once it has not answered a call, the servers are asked directly when it
+// does not accept the next one.
+func TestRelayThatHasNotAnsweredIsNotKept(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		route := tb.shardedRoute(5, 0.89)
+		relay := tb.addRelay()
+		tb.relays[localZone], tb.relays[remoteZone] = relay, nil
+		relay.silent = true
+		answer, _ := tb.ask(background, route)
+		assert.Assert(t, answer.Refusal != nil)
+		answer, took := tb.ask(background, route)
+		assert.Assert(t, answer.Merged != nil)
+		assert.Assert(t, took <= route.TargetLatency, "took %v", took)
+	})
+}
--- a/pkg/forward/relaycall.go
+++ b/pkg/forward/relaycall.go
@@ -41,6 +41,7 @@
 	sampled       bool   // the parts come one by one, and their times are recorded
 	started       time.Time
 	extended      bool // the acceptance timeout was extended to the cutoff
+	kept          bool // the relay is not given up before the cutoff
 	accepted      bool
 	ended         bool
 	cancel        context.CancelFunc
@@ -79,6 +80,8 @@
 }
 
 func (r *activeRequest) sendRelayCall(rc *relayCall) {
+	// One that has not answered the latest call may be dead, and would cost this request too.
+	rc.kept = r.usesStrongerRelay && rc.relay.Answers()
 	// Without a server in this zone there is no choice that the times could inform.
 	rc.sampled = !rc.extra && hasServerIn(rc.shardRequests[0].servers, r.engine.zone) && r.engine.tracker.SampleRelay(rc.zone, rc.started)
 	call := &PartsCall{
@@ -92,7 +95,7 @@
 		Target:          r.route.TargetLatency,
 		Cutoff:          r.timing.cutoff.Add(-r.relayMargin(rc.zone)),
 		Deadline:        r.timing.deadline,
-		HedgeAfter:      r.relayHedgeDelay(),
+		HedgeAfter:      r.relayHedgeDelay(rc),
 		ChargedBySender: rc.extra,
 		Merge:           !rc.extra && !rc.sampled,
 		SameZone:        rc.zone == r.engine.zone,
@@ -152,8 +155,8 @@
 // a sender that gives up the relay has done so. A sender that keeps its relay until the cutoff
 // counts two servers for each shard from its own hedge delay on, so its relay hedges in time for
 // urgent requests.
-func (r *activeRequest) relayHedgeDelay() time.Duration {
-	if r.usesStrongerRelay {
+func (r *activeRequest) relayHedgeDelay(rc *relayCall) time.Duration {
+	if rc.kept {
 		return r.timing.hedgeDelay
 	}
 	return r.acceptanceTimeout() + cancelDelay
@@ -167,9 +170,9 @@
 		if rc.ended || rc.accepted || now.Before(due) {
 			continue
 		}
-		if !rc.extended && (r.usesStrongerRelay || now.Sub(due) > starvationDelay) {
+		if !rc.extended && (rc.kept || now.Sub(due) > starvationDelay) {
 			rc.extended = true
-			if r.usesStrongerRelay {
+			if rc.kept {
 				rc.relay.Failed()
 			}
 			if now.Before(r.timing.cutoff) {
--- a/pkg/peering/members.go
+++ b/pkg/peering/members.go
@@ -167,6 +167,16 @@
 	k.suspectUntil = now.Add(min(initialSuspicion<<min(k.failures-suspectAfterFailures, 6), maxSuspicion))
 }
 
+// failures returns the number of calls to a member that have failed since it last answered one.
+func (m *Members) failures(id string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.known[id]; k != nil {
+		return k.failures
+	}
+	return 0
+}
+
 // Usable returns the members that can be given work, ordered by id. An empty zone stands
 // for all zones.
 func (m *Members) Usable(zone string) []Member {
--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -157,6 +157,8 @@
 
 func (r *relay) Stronger() bool { return muchStronger(r.member, r.relays.members.Self()) }
 
+func (r *relay) Answers() bool { return r.relays.members.failures(r.member.ID) == 0 }
+
 func (r *relay) Failed() { r.relays.members.RecordCall(r.member.ID, false) }
 
 func (r *relay) Gather(ctx context.Context, call *forward.PartsCall, accepted func(), receive func(*forward.PartsResult)) error {
