forward: a request that is held back stays in the regions of its route

Cause: the list of servers that is read again after the delay left out the route's allowed regions; the check before sending still held. Change: it is read like all others. Measured: TestHeldBackRequestStaysInItsRegions fails before with a server of the other zone.

--- a/pkg/forward/allowedzones_test.go
+++ b/pkg/forward/allowedzones_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
+	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
 // homeRegions names the regions of the zones of the tests: the remote zone is abroad.
@@ -118,3 +119,22 @@
 		assert.Equal(t, final.Attempts, 1)
 	})
 }
+
+// Guards against servers abroad in the list of a request that was held back because it may crash
+// servers: the list is read again after the delay.
+func TestHeldBackRequestStaysInItsRegions(t *testing.T) {
+	simulate(t, func(t *testing.T, tb *testbed) {
+		route := tb.singleRoute(true)
+		tb.engine.regions = homeRegions
+		route.AllowedRegions = []string{"home"}
+		r := newActiveRequest(tb.engine, route, &Request{ID: "id", Arrived: time.Now()}, func(string) int { return 0 })
+		defer r.release()
+		for _, server := range []string{"x", "y"} {
+			tb.engine.suspects.RecordLoss(r.crashes.fingerprint, suspects.Loss{Server: server, Began: time.Now(), Ended: time.Now()})
+		}
+		r.holdBack(background)
+		for _, server := range r.shardRequests[0].servers {
+			assert.Equal(t, server.Zone, localZone)
+		}
+	})
+}
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -156,7 +156,7 @@
 	case <-ctx.Done():
 	}
 	for _, s := range r.shardRequests {
-		s.servers = r.engine.directory.Servers(s.service)
+		s.servers = r.usableServers(s.service)
 	}
 }
 
