--- a/test/soak/operatorfaults_test.go
+++ b/test/soak/operatorfaults_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/platform/platformtest"
@@ -21,6 +22,17 @@
 		time.Sleep(length)
 		s.evacuate(zone, false)
 	}},
+	{"cold-return", func(s *system, random *rand.Rand, length time.Duration) {
+		zone := pick(random, zones)
+		s.writeZone(zone, func(int) string { return "" })
+		time.Sleep(length)
+		s.writeZone(zone, func(n int) string {
+			warm := s.servers[n].Entry(s.addresses[n], "ready")
+			return strings.Replace(warm, `"warmup_left_ms":0`, `"warmup_left_ms":3000`, 1)
+		})
+		time.Sleep(length)
+		s.writeZone(zone, func(n int) string { return s.servers[n].Entry(s.addresses[n], "ready") })
+	}},
 	{"restore", func(s *system, _ *rand.Rand, length time.Duration) {
 		before := s.store.Snapshot()
 		time.Sleep(length)
@@ -33,6 +45,15 @@
 	}},
 }
 
+// writeZone writes the entries of all servers of a zone; an empty one removes the entry.
+func (s *system) writeZone(zone string, entry func(n int) string) {
+	for n, server := range s.servers {
+		if server.Zone == zone {
+			s.store.Write(platformtest.PrefixServers+server.ID, entry(n))
+		}
+	}
+}
+
 // nextEra states a higher era of the store than ever before.
 func (s *system) nextEra() {
 	s.mu.Lock()
