--- a/test/soak/operatorfaults_test.go
+++ b/test/soak/operatorfaults_test.go
@@ -4,12 +4,14 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/platform/platformtest"
 )
 
+// coldTime is how long servers are slow after a cold return.
+const coldTime = 3 * time.Second
+
 // restoreOutage is how long the store is away before it returns from a copy.
 const restoreOutage = 300 * time.Millisecond
 
@@ -26,10 +28,7 @@
 		zone := pick(random, zones)
 		s.writeZone(zone, func(int) string { return "" })
 		time.Sleep(length)
-		s.writeZone(zone, func(n int) string {
-			warm := s.servers[n].Entry(s.addresses[n], "ready")
-			return strings.Replace(warm, `"warmup_left_ms":0`, `"warmup_left_ms":3000`, 1)
-		})
+		s.writeZone(zone, func(n int) string { return s.servers[n].ColdEntry(s.addresses[n], "ready", coldTime) })
 		time.Sleep(length)
 		s.writeZone(zone, func(n int) string { return s.servers[n].Entry(s.addresses[n], "ready") })
 	}},
