feed: complete reads are spaced so that changes still take effect in time

Cause: the pause between complete reads grew to 10 s. An instance that waits for a complete read has no position to watch from and hears of nothing. A reader and its followers waited one after the other.

Change: the pause before a complete read of the store is 1 s at most, and that before one from another instance 0.2 s. A change reaches both within maxViewDelay, 1.5 s.

Ruled out: the own protocol, which watches revisions of documents and has no history. Starting instances were never paced, so the number of reads at a start of all instances stays as it was.

--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -73,7 +73,8 @@
 func (l *followLoop) call(ctx context.Context) time.Duration {
 	now := l.follower.clock.now()
 	if !l.synced && l.hasView {
-		if next := l.pacing.nextAt(now); now.Before(next) {
+		fromStore := l.readFrom != nil && l.readFrom.isStore
+		if next := l.pacing.nextAt(now, fromStore); now.Before(next) {
 			return next.Sub(now)
 		}
 	}
