directory, feed: the drain time counts from when the store can have accepted the drain

Cause: a follower learns of the loss from its reader, 2.1 s late. A leaving server that is the last one of its service was used for half of the drain time from when the instance learned of the drain, however old the news was.

Change: each item of the store has a time after which it was written, bounded by the last confirmation of the view that lacks it, and instances pass it on as an age. The last resort ends by the drain time after that. A watch without changes confirms the view as of the end of its wait. After an outage seen by the instance itself the time counts from when it learns, so that expired entries of servers that work do not empty a service.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -9,11 +9,6 @@
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 )
 
-// lastResortShare is the share of the platform's drain time during which a leaving server
-// may still get requests if its service has no other server. The rest of the drain time
-// covers the delay of the platform's list.
-const lastResortShare = 0.5
-
 // statedLeavingTime is how long a server that has said that it leaves is remembered, at least
 // until its process has ended.
 const statedLeavingTime = 5 * time.Minute
@@ -21,8 +16,8 @@
 // Directory holds the listed backend servers, and those that left the list a short time
 // ago. It is safe for concurrent use.
 type Directory struct {
-	lastResortTime time.Duration // how long a leaving server may still be used, see lastResortShare
-	now            func() time.Time
+	lastResort lastResort
+	now        func() time.Time
 
 	mu        sync.RWMutex
 	byID      map[string]*Server
@@ -38,13 +33,13 @@
 // requests after it reported that it drains; now is the clock.
 func New(drain time.Duration, now func() time.Time) *Directory {
 	return &Directory{
-		lastResortTime: time.Duration(lastResortShare * float64(drain)),
-		now:            now,
-		byID:           make(map[string]*Server),
-		byService:      make(map[string][]*Server),
-		drained:        make(map[string]time.Time),
-		returned:       make(map[string]time.Time),
-		statedLeaving:  make(map[string]time.Time),
+		lastResort:    lastResort{drain: drain},
+		now:           now,
+		byID:          make(map[string]*Server),
+		byService:     make(map[string][]*Server),
+		drained:       make(map[string]time.Time),
+		returned:      make(map[string]time.Time),
+		statedLeaving: make(map[string]time.Time),
 	}
 }
 
@@ -68,14 +63,18 @@
 		next.WarmAt, next.ColdAssumed = old.WarmAt, old.ColdAssumed
 	}
 	if e.Server.State == membership.StateLeaving {
-		next.LeavingSince = now
+		next.LeavingSince, next.lastResortUntil = now, d.lastResort.end(now, e.After)
 		if old != nil && old.Leaving() && old.Started == e.Started {
-			next.LeavingSince = old.LeavingSince
+			next.LeavingSince, next.lastResortUntil = old.LeavingSince, earlier(old.lastResortUntil, next.lastResortUntil)
 		}
 	}
 	if since, ok := d.statedLeaving[next.Key()]; ok {
+		stated := d.lastResort.end(since, time.Time{})
+		if next.Leaving() {
+			stated = earlier(stated, next.lastResortUntil)
+		}
 		next.State = membership.StateLeaving
-		next.LeavingSince = since
+		next.LeavingSince, next.lastResortUntil = since, stated
 	}
 	change := changeOf(old, next)
 	d.replaceLocked(old, next)
@@ -103,27 +102,28 @@
 	}
 	next := *listed
 	next.State = membership.StateLeaving
-	next.LeavingSince = now
+	next.LeavingSince, next.lastResortUntil = now, d.lastResort.end(now, time.Time{})
 	d.replaceLocked(listed, &next)
 }
 
 // Remove marks a backend server as leaving because its entry is gone. The server stays
-// usable as a last resort for a while, since an entry can expire while its server works.
-func (d *Directory) Remove(id string) Change {
+// usable as a last resort for a while, since an entry can expire while its server works. The
+// platform has removed the entry after the given time, zero if unknown.
+func (d *Directory) Remove(id string, after time.Time) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.removeLocked(id)
+	return d.removeLocked(id, after)
 }
 
-func (d *Directory) removeLocked(id string) Change {
+func (d *Directory) removeLocked(id string, after time.Time) Change {
 	old := d.byID[id]
 	if old == nil || old.Leaving() && old.State != membership.StateLeaving {
 		return Change{ID: id}
 	}
 	next := *old
 	next.State = membership.StateLive
-	if !old.Leaving() {
-		next.LeavingSince = d.now()
+	if now := d.now(); !old.Leaving() {
+		next.LeavingSince, next.lastResortUntil = now, d.lastResort.end(now, after)
 	}
 	d.replaceLocked(old, &next)
 	return Change{ID: id, Service: old.Service, Kind: Removed}
@@ -138,9 +138,10 @@
 	}
 }
 
-// Replace applies a complete list: it puts its entries and removes all other servers. The
-// changes are sorted by server ID.
-func (d *Directory) Replace(entries []Entry) []Change {
+// Replace applies a complete list: it puts its entries and removes all other servers, whose
+// entries the platform has removed after the given time, zero if unknown. The changes are sorted
+// by server ID.
+func (d *Directory) Replace(entries []Entry, after time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
@@ -155,7 +156,7 @@
 		if listed[id] {
 			continue
 		}
-		if change := d.removeLocked(id); change.Kind != Unchanged {
+		if change := d.removeLocked(id, after); change.Kind != Unchanged {
 			changes = append(changes, change)
 		}
 	}
@@ -173,7 +174,7 @@
 	for id, server := range d.byID {
 		// A draining server is kept while it is listed. Otherwise its next entry would
 		// count as a new server.
-		if server.Leaving() && server.State != membership.StateLeaving && d.lastResortExpired(server, now) {
+		if server.Leaving() && server.State != membership.StateLeaving && server.lastResortExpired(now) {
 			d.replaceLocked(server, nil)
 			removed = append(removed, id)
 		}
@@ -186,7 +187,7 @@
 // not expired.
 func (d *Directory) MayUse(server *Server) bool {
 	listed := d.listed(server)
-	return listed != nil && !listed.drained && (!listed.Leaving() || !d.lastResortExpired(listed, d.now()))
+	return listed != nil && !listed.drained && (!listed.Leaving() || !listed.lastResortExpired(d.now()))
 }
 
 // HasBegunToLeave reports whether a server that was chosen while it stayed leaves now, or its
@@ -233,7 +234,7 @@
 	now := d.now()
 	var out []*Server
 	for _, server := range list {
-		if server.Leaving() && !d.lastResortExpired(server, now) {
+		if server.Leaving() && !server.lastResortExpired(now) {
 			out = append(out, server)
 		}
 	}
@@ -246,7 +247,7 @@
 	now := d.now()
 	out := make([]*Server, 0, len(list))
 	for _, server := range list {
-		if server.Leaving() == hasStaying || server.Leaving() && d.lastResortExpired(server, now) {
+		if server.Leaving() == hasStaying || server.Leaving() && server.lastResortExpired(now) {
 			continue
 		}
 		out = append(out, server)
@@ -254,10 +255,6 @@
 	return out
 }
 
-func (d *Directory) lastResortExpired(server *Server, now time.Time) bool {
-	return now.Sub(server.LeavingSince) > d.lastResortTime
-}
-
 // ServersInZone returns the servers of an availability zone that are not leaving, and none for
 // a drained zone.
 func (d *Directory) ServersInZone(zone string) []*Server {
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -70,10 +70,10 @@
 func TestLapsedEntriesAreUsedForAWhile(t *testing.T) {
 	d := newTestDirectory()
 	d.Put(entry("a", 1, membership.StateLive))
-	d.Replace(nil)
+	d.Replace(nil, time.Time{})
 	assert.DeepEqual(t, ids(d.Servers("s")), []string{"a"})
 	assert.Equal(t, d.Put(entry("a", 1, membership.StateLive)).Kind, Returned)
-	d.Remove("a")
+	d.Remove("a", time.Time{})
 	d.now = d.now.Add(drain)
 	assert.DeepEqual(t, ids(d.Servers("s")), []string{})
 	assert.DeepEqual(t, d.Sweep(), []string{"a"})
@@ -114,10 +114,12 @@
 	assert.DeepEqual(t, ids(d.LastResort("s")), []string{"a"})
 	for _, change := range []func(){
 		func() { d.Put(entry("a", 1, membership.StateLive)) },
-		func() { d.Remove("a") },
+		func() { d.Remove("a", time.Time{}) },
 		func() { d.Sweep() },
 		func() { d.Put(entry("a", 1, membership.StateLive)) },
-		func() { d.Replace([]Entry{entry("a", 1, membership.StateLive), entry("b", 1, membership.StateLive)}) },
+		func() {
+			d.Replace([]Entry{entry("a", 1, membership.StateLive), entry("b", 1, membership.StateLive)}, time.Time{})
+		},
 	} {
 		d.now = d.now.Add(drain)
 		change()
@@ -150,8 +152,8 @@
 func TestLeavesIsClosedWhenTheRunLeaves(t *testing.T) {
 	for name, leave := range map[string]func(*testDirectory){
 		"drains":      func(d *testDirectory) { d.Put(entry("a", 1, membership.StateLeaving)) },
-		"is removed":  func(d *testDirectory) { d.Remove("a") },
-		"lapses":      func(d *testDirectory) { d.Replace(nil) },
+		"is removed":  func(d *testDirectory) { d.Remove("a", time.Time{}) },
+		"lapses":      func(d *testDirectory) { d.Replace(nil, time.Time{}) },
 		"says so":     func(d *testDirectory) { d.MarkLeaving(d.Servers("s")[0]) },
 		"starts anew": func(d *testDirectory) { d.Put(entry("a", 2, membership.StateLive)) },
 	} {
@@ -180,7 +182,7 @@
 	d.Put(entry("a", 1, membership.StateLive))
 	chosen := d.Servers("s")[0]
 	assert.Assert(t, d.MayUse(chosen))
-	d.Remove("a")
+	d.Remove("a", time.Time{})
 	d.now = d.now.Add(drain / 2)
 	assert.Assert(t, d.MayUse(chosen))
 	d.now = d.now.Add(time.Millisecond)
@@ -189,7 +191,7 @@
 	assert.Assert(t, d.MayUse(chosen))
 	d.Put(entry("a", 2, membership.StateLive))
 	assert.Assert(t, !d.MayUse(chosen))
-	d.Remove("a")
+	d.Remove("a", time.Time{})
 	d.now = d.now.Add(drain)
 	d.Sweep()
 	assert.Assert(t, !d.MayUse(chosen) && !d.HasBegunToLeave(chosen))
--- a/pkg/directory/drainedzone_test.go
+++ b/pkg/directory/drainedzone_test.go
@@ -23,8 +23,8 @@
 		"drained":               func(*testDirectory) {},
 		"entry written anew":    func(d *testDirectory) { d.Put(entryIn("z0", "a", membership.StateLive)) },
 		"server leaves":         func(d *testDirectory) { d.Put(entryIn("z0", "a", membership.StateLeaving)) },
-		"entry gone":            func(d *testDirectory) { d.Remove("a") },
-		"complete list":         func(d *testDirectory) { d.Replace([]Entry{entryIn("z0", "a", membership.StateLive)}) },
+		"entry gone":            func(d *testDirectory) { d.Remove("a", time.Time{}) },
+		"complete list":         func(d *testDirectory) { d.Replace([]Entry{entryIn("z0", "a", membership.StateLive)}, time.Time{}) },
 		"server new":            func(d *testDirectory) { d.Put(entryIn("z0", "new", membership.StateLive)) },
 		"server moves there":    func(d *testDirectory) { d.Put(entryIn("z0", "b", membership.StateLive)) },
 		"other zone drained":    func(d *testDirectory) { d.DrainZone("z1") },
@@ -96,10 +96,10 @@
 	d.Put(cold)
 	warmAt := d.now.Add(cold.WarmUp)
 	d.now = d.now.Add(time.Minute)
-	d.Replace([]Entry{cold})
+	d.Replace([]Entry{cold}, time.Time{})
 	assert.Equal(t, d.Servers("s")[0].WarmAt, warmAt)
 	cold.Revision = 8 // a new entry: the server is cold again
-	d.Replace([]Entry{cold})
+	d.Replace([]Entry{cold}, time.Time{})
 	assert.Equal(t, d.Servers("s")[0].WarmAt, d.now.Add(cold.WarmUp))
 }
 
--- a/pkg/directory/entry.go
+++ b/pkg/directory/entry.go
@@ -13,4 +13,5 @@
 	Started  int64                    // start time of the process in Unix milliseconds; 0 is unknown
 	Revision int64                    // of the entry in the platform's list; 0 is unknown
 	WarmUp   time.Duration            // remaining time in which the server is slow after its start
+	After    time.Time                // the platform has accepted the entry after this time; zero is unknown
 }
--- /dev/null
+++ b/pkg/directory/lastresort.go
@@ -0,0 +1,40 @@
+package directory
+
+import "time"
+
+const (
+	// lastResortShare is the share of the drain time, from when this instance learns that a
+	// server leaves, during which the server may still get requests if its service has no
+	// other server.
+	lastResortShare = 0.5
+	// sendMargin is how long before the end of the drain time a leaving server gets its last
+	// request, so that the request arrives within it.
+	sendMargin = 100 * time.Millisecond
+)
+
+// lastResort decides until when a leaving server may still get requests if its service has no
+// other server.
+type lastResort struct {
+	drain time.Duration // for which a server accepts requests after the platform has accepted that it leaves
+}
+
+// end returns the end of that time for a server of which this instance has learned at one time
+// that it leaves. The platform has accepted that after another time, zero if unknown. An instance
+// whose source has lost the platform without noticing learns of it late, so the drain time is
+// counted from the earliest possible time.
+func (l lastResort) end(learned, after time.Time) time.Time {
+	end := learned.Add(time.Duration(lastResortShare * float64(l.drain)))
+	if after.IsZero() {
+		return end
+	}
+	return earlier(end, after.Add(l.drain-sendMargin))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (s *Server) lastResortExpired(now time.Time) bool { return now.After(s.lastResortUntil) }
--- a/pkg/directory/server.go
+++ b/pkg/directory/server.go
@@ -18,6 +18,9 @@
 	// LeavingSince is when this instance first saw that the server drains or that its
 	// entry is gone; zero for a server that is not leaving.
 	LeavingSince time.Time
+	// lastResortUntil is until when a leaving server may still get requests if its service has
+	// no other server.
+	lastResortUntil time.Time
 
 	// ReturnedAt is when the server's zone was last taken into use again after it was drained
 	// for coldAfter or longer; zero if that has not happened.
--- a/pkg/feed/apply.go
+++ b/pkg/feed/apply.go
@@ -1,12 +1,15 @@
 package feed
 
 import (
+	"time"
+
 	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/routing"
 )
 
-// applyAll puts a complete list of items in force.
-func (f *Follower) applyAll(b Batch, origin string) {
+// applyAll puts a complete list of items in force. The store has removed what the list lacks after
+// the given time, zero if unknown.
+func (f *Follower) applyAll(b Batch, removedAfter time.Time, origin string) {
 	var entries []directory.Entry
 	var drainedZones []string
 	var table *routing.Table
@@ -18,7 +21,7 @@
 			table, tableItem = decoded.Table, item
 		}
 		if decoded.Entry != nil {
-			decoded.Entry.Revision = item.Revision
+			decoded.Entry.Revision, decoded.Entry.After = item.Revision, item.WrittenAfter
 			entries = append(entries, *decoded.Entry)
 		}
 		if decoded.DrainedZone != "" && !item.Removed {
@@ -30,7 +33,7 @@
 	for _, zone := range drainedZones {
 		f.logZoneChange(f.directory.DrainZone(zone), b.Position.Revision)
 	}
-	for _, change := range f.directory.Replace(entries) {
+	for _, change := range f.directory.Replace(entries, removedAfter) {
 		f.logChange(change, b.Position.Revision)
 	}
 	for _, change := range f.directory.ReturnOtherZones(drainedZones) {
@@ -55,9 +58,9 @@
 			f.logZoneChange(f.directory.DrainZone(decoded.DrainedZone), item.Revision)
 		case decoded.ServerID == "":
 		case decoded.Entry == nil:
-			f.logChange(f.directory.Remove(decoded.ServerID), item.Revision)
+			f.logChange(f.directory.Remove(decoded.ServerID, item.WrittenAfter), item.Revision)
 		default:
-			decoded.Entry.Revision = item.Revision
+			decoded.Entry.Revision, decoded.Entry.After = item.Revision, item.WrittenAfter
 			f.logChange(f.directory.Put(*decoded.Entry), item.Revision)
 		}
 	}
--- a/pkg/feed/confirmation.go
+++ b/pkg/feed/confirmation.go
@@ -24,6 +24,14 @@
 	}
 }
 
+// time returns the time, or zero before the first confirmation.
+func (c *confirmation) time() time.Time {
+	if at := c.at.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 func (c *confirmation) age(now time.Time) time.Duration {
 	if at := c.at.Load(); at != nil {
 		return now.Sub(*at)
--- /dev/null
+++ b/pkg/feed/cutreader_test.go
@@ -0,0 +1,127 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// cutLink is the way of one instance to the store. It is silent from one time until another one,
+// after which it delivers what it has held up.
+type cutLink struct {
+	*fakeStore
+	from, until time.Time
+}
+
+func (l *cutLink) Read(ctx context.Context) (Batch, error) {
+	b, err := l.fakeStore.Read(ctx)
+	return b, l.delivered(ctx, err)
+}
+
+func (l *cutLink) Watch(ctx context.Context, after Position, wait time.Duration) (Batch, error) {
+	b, err := l.fakeStore.Watch(ctx, after, wait)
+	return b, l.delivered(ctx, err)
+}
+
+func (l *cutLink) delivered(ctx context.Context, err error) error {
+	now := time.Now()
+	if now.Before(l.from) || !now.Before(l.until) {
+		return err
+	}
+	sleep(ctx, l.until.Sub(now))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// testDrain is the drain time of the directories of startFollower.
+const testDrain = 3 * time.Second
+
+// All servers of a service begin to leave while the zone's reader is cut off from the store without
+// noticing. Guards against followers, which reach the store, that send requests to these servers
+// after the drain time: they learn of the change up to 2.1 s late and count from then on.
+func TestServersAreNotUsedAfterTheirDrainBehindACutReader(t *testing.T) {
+	for _, leave := range []string{"leaving", ""} {
+		for cut := 200 * time.Millisecond; cut < 6*time.Second; cut += 300 * time.Millisecond {
+			for offset := -100 * time.Millisecond; offset <= cut; offset += 400 * time.Millisecond {
+				t.Run(fmt.Sprintf("%q %v after the begin of %v", leave, offset, cut), func(t *testing.T) {
+					simulate(t, func(ctx context.Context, store *fakeStore) {
+						way := &cutLink{fakeStore: store}
+						reader := startFollower(ctx, way, noPeers{})
+						<-reader.Ready()
+						follower := startFollower(ctx, store, onePeer{followed: reader})
+						<-follower.Ready()
+						// The watches of reader and follower are at a different point for each case.
+						time.Sleep(5*time.Second + (cut*7+offset*3)%(2*time.Second))
+						from := time.Now().Add(200 * time.Millisecond)
+						way.from, way.until = from, from.Add(cut)
+						time.Sleep(200*time.Millisecond + offset)
+						store.write("server/a", leave)
+						store.write("server/b", leave)
+						drained := time.Now()
+						time.Sleep(testDrain)
+						for ; time.Since(drained) < 3*testDrain; time.Sleep(20 * time.Millisecond) {
+							assert.Equal(t, usableServers(follower), "", "%v after the drain", time.Since(drained))
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// All servers of a service begin to leave, without any fault. Guards against a service that is left
+// without its last servers long before these stop.
+func TestLeavingServersAreTheLastResort(t *testing.T) {
+	const cases = 40
+	for _, leave := range []string{"leaving", ""} {
+		var sum time.Duration
+		for n := range cases {
+			simulate(t, func(ctx context.Context, store *fakeStore) {
+				reader := startFollower(ctx, store, noPeers{})
+				<-reader.Ready()
+				follower := startFollower(ctx, store, onePeer{followed: reader})
+				<-follower.Ready()
+				time.Sleep(5*time.Second + time.Duration(n)*47*time.Millisecond)
+				store.write("server/a", leave)
+				store.write("server/b", leave)
+				drained := time.Now()
+				for usableServers(reader) != "" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				assert.Assert(t, time.Since(drained) >= time.Second, "%v", time.Since(drained))
+				for usableServers(follower) != "" {
+					time.Sleep(10 * time.Millisecond)
+				}
+				sum += time.Since(drained)
+			})
+		}
+		t.Logf("used for %v after the drain, on average", sum/cases)
+		assert.Assert(t, sum/cases >= testDrain*2/5, "mean of %v", sum/cases)
+	}
+}
+
+// The store is away for long enough that the entries of all servers expire, and these come back
+// a while after its return. Guards against a service without servers in between.
+func TestServersWhoseEntriesExpireInAnOutageAreTheLastResort(t *testing.T) {
+	simulate(t, func(ctx context.Context, store *fakeStore) {
+		reader := startFollower(ctx, store, noPeers{})
+		<-reader.Ready()
+		follower := startFollower(ctx, store, onePeer{followed: reader})
+		<-follower.Ready()
+		time.Sleep(5 * time.Second)
+		store.setDown(true)
+		time.Sleep(8 * time.Second)
+		store.write("server/a", "")
+		store.write("server/b", "")
+		store.setDown(false)
+		for returned := time.Now(); time.Since(returned) < testDrain/2; time.Sleep(20 * time.Millisecond) {
+			assert.Equal(t, usableServers(reader), "a b")
+			assert.Equal(t, usableServers(follower), "a b")
+		}
+	})
+}
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -71,7 +71,8 @@
 }
 
 func (l *followLoop) call(ctx context.Context) time.Duration {
-	now := l.follower.clock.now()
+	f := l.follower
+	now := f.clock.now()
 	if !l.synced && l.hasView {
 		fromStore := l.readFrom != nil && l.readFrom.isStore
 		if next := l.pacing.nextAt(now, fromStore); now.Before(next) {
@@ -80,12 +81,12 @@
 	}
 	source, ok := l.chooseSource(now)
 	if !ok {
-		return l.storeRetryAt.Sub(l.follower.clock.now())
+		return l.storeRetryAt.Sub(f.clock.now())
 	}
-	if at, ok := l.follower.restored.settlesAt(); ok {
+	if at, ok := f.restored.settlesAt(); ok {
 		source.wait = max(min(source.wait, at.Sub(now)), 0)
 	}
-	requestedAt := l.follower.clock.now()
+	requestedAt := f.clock.now()
 	batch, err := l.fetch(ctx, source)
 	if ctx.Err() != nil {
 		return 0
@@ -102,7 +103,8 @@
 		// A stale view can still hold changes that this instance lacks. An instance that has
 		// no view yet takes a stale one only if it cannot reach the store either: such a view
 		// may be far behind the one that its previous run had.
-		l.apply(batch, l.confirmationTime(batch, requestedAt, source), source)
+		confirmed, after := l.confirmationTime(batch, requestedAt, source), l.writtenAfter(f.clock.now())
+		l.apply(l.date(batch, requestedAt, after, source), confirmed, after, source)
 	}
 	if isStale {
 		return l.handleFailure(&StaleViewError{Peer: source.id, Age: batch.Age}, source)
@@ -209,8 +211,9 @@
 }
 
 // apply puts a batch in force and then adds it to the cache with the time of its confirmation,
-// since the instances that follow this one receive both together.
-func (l *followLoop) apply(batch Batch, confirmed time.Time, source chosenSource) {
+// since the instances that follow this one receive both together. The store has accepted what is
+// new in the batch after another time.
+func (l *followLoop) apply(batch Batch, confirmed, after time.Time, source chosenSource) {
 	f := l.follower
 	if l.synced {
 		changes, unseen := f.cache.news(batch)
@@ -221,7 +224,7 @@
 		f.cache.add(changes, batch.Position.Revision, confirmed)
 		l.position.Revision = max(l.position.Revision, batch.Position.Revision)
 	} else {
-		l.applyRead(batch, confirmed, source)
+		l.applyRead(batch, confirmed, after, source)
 	}
 	f.markReady()
 	l.hasView, l.synced = true, true
@@ -229,7 +232,7 @@
 
 // applyRead puts a complete read in force. Its position replaces the one before, even if that
 // has a higher revision.
-func (l *followLoop) applyRead(batch Batch, confirmed time.Time, source chosenSource) {
+func (l *followLoop) applyRead(batch Batch, confirmed, after time.Time, source chosenSource) {
 	f := l.follower
 	l.pacing.record(f.clock.now())
 	// Without eras, a restore shows only by the lower revision.
@@ -246,7 +249,7 @@
 	f.era.Store(batch.Position.Era)
 	inForce := batch
 	inForce.Items = f.restored.resolve(batch.Items)
-	f.applyAll(inForce, source.id)
+	f.applyAll(inForce, after, source.id)
 	if state := batch.Restored; state != nil && state.Table != nil {
 		f.adoptTable(*state.Table, f.decoder.Decode(*state.Table).Table, source.id)
 	}
@@ -261,9 +264,15 @@
 // maxReplyDelay. The reply to a read may be as old as its request: it has the revision of its
 // first page, and further pages may take seconds.
 func (l *followLoop) confirmationTime(batch Batch, requestedAt time.Time, source chosenSource) time.Time {
-	at := requestedAt
-	if earliestReply := l.follower.clock.now().Add(-maxReplyDelay); l.synced && earliestReply.After(requestedAt) {
-		at = earliestReply
+	at, now := requestedAt, l.follower.clock.now()
+	if l.synced {
+		if earliestReply := now.Add(-maxReplyDelay); earliestReply.After(at) {
+			at = earliestReply
+		}
+		// A watch without changes was held for the whole wait.
+		if waited := requestedAt.Add(source.wait); len(batch.Items) == 0 && waited.After(at) && !now.Before(waited) {
+			at = waited
+		}
 	}
 	if !source.isStore {
 		at = at.Add(-batch.Age)
--- a/pkg/feed/source.go
+++ b/pkg/feed/source.go
@@ -22,6 +22,9 @@
 	Value    []byte
 	Revision int64 // of the item's last change, in the era of the batch
 	Removed  bool
+	// WrittenAfter is a time after which the store has accepted the change; zero is unknown. While
+	// the store answers nobody it accepts none, so the time of an outage does not count.
+	WrittenAfter time.Time
 }
 
 // Batch holds all items, or the changed ones, as of a position.
--- a/pkg/forward/explanation_test.go
+++ b/pkg/forward/explanation_test.go
@@ -21,7 +21,7 @@
 				tb.decideZones(tb.engine, relay.engine)
 			}
 			tb.warmUp(route)
-			tb.directory.Remove("s03.a") // only the server of the other zone is left
+			tb.directory.Remove("s03.a", time.Time{}) // only the server of the other zone is left
 			time.Sleep(10 * time.Second)
 			left := tb.budget.Remaining("s00", time.Now())
 			table := routing.NewTable(7, nil, nil, routing.Limits{})
@@ -45,7 +45,7 @@
 	simulate(t, func(t *testing.T, tb *testbed) {
 		route := tb.shardedRoute(5, 1)
 		for _, id := range []string{"s02.a", "s02.b"} {
-			tb.directory.Remove(id)
+			tb.directory.Remove(id, time.Time{})
 		}
 		time.Sleep(10 * time.Second)
 		table := routing.NewTable(7, nil, nil, routing.Limits{})
--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -186,7 +186,7 @@
 func TestRequestThatWaitedDoesNotGoToALeavingServer(t *testing.T) {
 	simulate(t, func(t *testing.T, tb *testbed) {
 		route := tb.shardedRoute(1, 1)
-		tb.directory.Remove("s00.b")
+		tb.directory.Remove("s00.b", time.Time{})
 		tb.warmUp(route)
 		servers := tb.directory.Servers("s00")
 		assert.Equal(t, len(servers), 1)
--- a/pkg/forward/relay_test.go
+++ b/pkg/forward/relay_test.go
@@ -77,7 +77,7 @@
 func (tb *testbed) remoteShardedRoute(n int) *routing.Route {
 	route := tb.shardedRoute(n, 0.89)
 	for _, service := range route.Shards {
-		tb.directory.Remove(service + ".a")
+		tb.directory.Remove(service+".a", time.Time{})
 	}
 	time.Sleep(10 * time.Second)
 	return route
@@ -201,7 +201,7 @@
 			ChargedBySender: true,
 		}
 		for _, service := range route.Shards {
-			tb.directory.Remove(service + ".a")
+			tb.directory.Remove(service+".a", time.Time{})
 		}
 		var parts []Part
 		assert.Assert(t, tb.engine.Gather(background, call, func(r *PartsResult) { parts = append(parts, r.Parts...) }))
--- a/pkg/forward/sharded_test.go
+++ b/pkg/forward/sharded_test.go
@@ -111,8 +111,8 @@
 	simulate(t, func(t *testing.T, tb *testbed) {
 		route := tb.shardedRoute(3, 0.89)
 		for _, service := range route.Shards {
-			tb.directory.Remove(service + ".a")
-			tb.directory.Remove(service + ".b")
+			tb.directory.Remove(service+".a", time.Time{})
+			tb.directory.Remove(service+".b", time.Time{})
 		}
 		time.Sleep(10 * time.Second)
 		answer, took := tb.ask(background, route)
--- a/pkg/forward/shedding_test.go
+++ b/pkg/forward/shedding_test.go
@@ -34,7 +34,7 @@
 
 // onlyServer leaves one server of the first shard and sets a limit there.
 func (tb *testbed) onlyServer(route *routing.Route) *directory.Server {
-	tb.directory.Remove("s00.b")
+	tb.directory.Remove("s00.b", time.Time{})
 	tb.warmUp(route)
 	server := tb.directory.Servers("s00")[0]
 	tb.limit(server, route)
--- a/pkg/forward/single_test.go
+++ b/pkg/forward/single_test.go
@@ -192,7 +192,7 @@
 		for n := range 3 {
 			id := "one." + string(rune('c'+n))
 			tb.addServer("one", id, localZone)
-			tb.directory.Remove(id)
+			tb.directory.Remove(id, time.Time{})
 			tb.setBehaviour(id, silent)
 		}
 		answer, _ := tb.ask(background, route)
@@ -218,7 +218,7 @@
 		go func() {
 			time.Sleep(lapse / 2)
 			for id := range entries {
-				tb.directory.Remove(id)
+				tb.directory.Remove(id, time.Time{})
 			}
 			time.Sleep(lapse)
 			for _, server := range entries {
--- a/pkg/forward/stages_test.go
+++ b/pkg/forward/stages_test.go
@@ -25,7 +25,7 @@
 func TestStagesShowTheWaitForCapacity(t *testing.T) {
 	simulate(t, func(t *testing.T, tb *testbed) {
 		route := tb.shardedRoute(1, 1)
-		tb.directory.Remove("s00.b")
+		tb.directory.Remove("s00.b", time.Time{})
 		tb.warmUp(route)
 		server := tb.directory.Servers("s00")[0]
 		tb.limit(server, route)
--- a/pkg/forward/zone_test.go
+++ b/pkg/forward/zone_test.go
@@ -131,7 +131,7 @@
 		tb.addServer("one", "one.c", remoteZone)
 		tb.decideZones(tb.engine)
 		tb.warmUp(route)
-		tb.directory.Remove("one.a")
+		tb.directory.Remove("one.a", time.Time{})
 		time.Sleep(10 * time.Second)
 		for _, id := range []string{"one.b", "one.c"} {
 			tb.setBehaviour(id, tb.counted(answersAfter(work+2*oneWay+work)))
--- a/pkg/peering/sources.go
+++ b/pkg/peering/sources.go
@@ -160,11 +160,20 @@
 }
 
 func itemFromProto(m *peeringpb.Item) feed.Item {
-	return feed.Item{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Removed: m.GetRemoved()}
+	item := feed.Item{Key: m.GetKey(), Value: m.GetValue(), Revision: m.GetRevision(), Removed: m.GetRemoved()}
+	if m.GetMaxAgeMs() > 0 {
+		item.WrittenAfter = time.Now().Add(-fromMilliseconds(m.GetMaxAgeMs()))
+	}
+	return item
 }
 
 func itemToProto(item feed.Item) *peeringpb.Item {
-	return &peeringpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed}
+	m := &peeringpb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed}
+	if !item.WrittenAfter.IsZero() {
+		// Rounded up: the receiver must not take the item for newer than it may be.
+		m.MaxAgeMs = toMilliseconds(time.Since(item.WrittenAfter) + time.Millisecond)
+	}
+	return m
 }
 
 func restoreFromProto(m *peeringpb.Restore) *feed.RestoreState {
