suspects: after the loss of all instances one loss may quarantine a request

Cause: quarantines are kept in the memory of the instances only. After the loss of all of them the bound began anew each time.

Change: an instance knows for how long its history reaches back. It takes it over with the quarantines from instances that run, and begins anew where it meets none, except at the first start of the system (first_start, from the platform's bootstrap). While the history is shorter than a quarantine lasts, a single loss suffices if a caller's request has ended with it and without a reply, the server has not answered since, and no other server was lost at the same time.

Ruled out: reports that get lost, and restarts of single instances.

--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -17,6 +17,7 @@
 	engine      *Engine
 	fingerprint uint64
 	sharded     bool
+	servesPeer  bool        // the caller is at another instance, which knows whether the request was answered
 	answered    atomic.Bool // a server has answered the request, so it does not crash servers
 	lost        atomic.Bool // a connection was lost under this request, here or at a relay
 	ended       atomic.Bool // the caller has its answer, or the sender its result
@@ -135,6 +136,9 @@
 	if !c.lost.Load() {
 		return
 	}
+	if !c.servesPeer {
+		c.engine.suspects.RecordUnanswered(c.fingerprint)
+	}
 	if s := c.suspect(now); s != nil {
 		c.engine.onSuspect(*s)
 	}
--- a/pkg/forward/parts.go
+++ b/pkg/forward/parts.go
@@ -30,7 +30,7 @@
 	defer r.release()
 	defer r.markNoLongerNeeded()
 	r.restrictTo(call.Zones)
-	r.servesPeer = true
+	r.servesPeer, r.crashes.servesPeer = true, true
 	r.chargedBySender = call.ChargedBySender
 	r.maxMissingShare = call.MaxMissingShare
 	if !call.SameZone {
--- a/pkg/peering/exchanger.go
+++ b/pkg/peering/exchanger.go
@@ -153,11 +153,11 @@
 func (e *Exchanger) digestMessage() *peeringpb.ExchangeMessage {
 	digest, ages := e.members.Digest()
 	m := &peeringpb.ExchangeMessage{
-		Sender:   e.members.Self().toProto(0),
-		Digest:   digest,
-		AgesMs:   make([]uint32, len(ages)),
-		Suspects: e.suspects.shared(),
+		Sender: e.members.Self().toProto(0),
+		Digest: digest,
+		AgesMs: make([]uint32, len(ages)),
 	}
+	e.suspects.addTo(m)
 	for i, age := range ages {
 		m.AgesMs[i] = toMilliseconds(age)
 	}
@@ -167,7 +167,8 @@
 // fullMessage returns all members that this instance knows. It asks for no members in
 // the reply.
 func (e *Exchanger) fullMessage() *peeringpb.ExchangeMessage {
-	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().toProto(0), Brief: true, Suspects: e.suspects.shared()}
+	m := &peeringpb.ExchangeMessage{Sender: e.members.Self().toProto(0), Brief: true}
+	e.suspects.addTo(m)
 	members, ages := e.members.All()
 	for i, member := range members {
 		m.Members = append(m.Members, member.toProto(ages[i]))
@@ -195,7 +196,7 @@
 func (e *Exchanger) merge(m *peeringpb.ExchangeMessage) bool {
 	sender := memberFromProto(m.GetSender())
 	e.members.MarkSeen(sender)
-	e.suspects.merge(sender, m.GetSuspects())
+	e.suspects.merge(sender, m)
 	for _, member := range m.GetMembers() {
 		e.members.Merge(memberFromProto(member), fromMilliseconds(member.GetAgeMs()))
 	}
--- a/pkg/peering/suspectreporter.go
+++ b/pkg/peering/suspectreporter.go
@@ -134,22 +134,27 @@
 	}
 }
 
-// shared returns the suspects for an exchange message.
-func (r *SuspectReporter) shared() []*peeringpb.Suspect {
+// addTo adds to an exchange message what each instance has to know.
+func (r *SuspectReporter) addTo(m *peeringpb.ExchangeMessage) {
 	now := r.members.now()
-	return suspectsToProto(r.tracker.Shared(now), now)
+	// The age comes first: a quarantine that begins after it is among the suspects.
+	m.SuspectsHistoryMs = toMilliseconds(r.tracker.HistoryAge(now))
+	m.Suspects = suspectsToProto(r.tracker.Shared(now), now)
 }
 
 // merge takes in the suspects of a message. What another zone sends and is new is passed on
 // within this zone.
-func (r *SuspectReporter) merge(sender Member, reported []*peeringpb.Suspect) {
+func (r *SuspectReporter) merge(sender Member, m *peeringpb.ExchangeMessage) {
 	now := r.members.now()
-	for _, m := range reported {
-		s := suspectFromProto(m, now)
+	for _, reported := range m.GetSuspects() {
+		s := suspectFromProto(reported, now)
 		if r.tracker.Merge(s) && sender.Zone != r.members.Self().Zone {
 			r.announce(report{suspect: s, localOnly: true})
 		}
 	}
+	if age := m.GetSuspectsHistoryMs(); age > 0 {
+		r.tracker.MergeHistory(fromMilliseconds(age), now)
+	}
 }
 
 func suspectsToProto(batch []suspects.Suspect, now time.Time) []*peeringpb.Suspect {
@@ -161,7 +166,7 @@
 }
 
 func suspectToProto(s suspects.Suspect, now time.Time) *peeringpb.Suspect {
-	m := &peeringpb.Suspect{Fingerprint: s.Fingerprint}
+	m := &peeringpb.Suspect{Fingerprint: s.Fingerprint, Unanswered: s.Unanswered}
 	for _, loss := range s.Losses {
 		m.Losses = append(m.Losses, &peeringpb.Loss{
 			Server:  loss.Server,
@@ -174,7 +179,7 @@
 }
 
 func suspectFromProto(m *peeringpb.Suspect, now time.Time) suspects.Suspect {
-	s := suspects.Suspect{Fingerprint: m.GetFingerprint()}
+	s := suspects.Suspect{Fingerprint: m.GetFingerprint(), Unanswered: m.GetUnanswered()}
 	for _, loss := range m.GetLosses() {
 		s.Losses = append(s.Losses, suspects.Loss{
 			Server:  loss.GetServer(),
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -165,6 +165,10 @@
 	s := r.options.Settings
 	relays := peering.NewRelays(r.members, r.client)
 	tracker := suspects.NewTracker(r.logSuspect)
+	if !s.FirstStart {
+		tracker.BeginHistory(time.Now())
+	}
+	r.registry.Func("suspects_history_s", func() any { return int64(tracker.HistoryAge(time.Now()).Seconds()) })
 	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
 	observed := r.newServerTracker()
 	observed.WarmUps = r.warmUp
@@ -296,7 +300,7 @@
 	supervisor.Add(r.reporter)
 	supervisor.Add(r.warmer)
 	finished := supervisor.ServeBackground(serveCtx)
-	r.logger.Info("started", "instance_zone", r.options.Settings.Instance.Zone)
+	r.logger.Info("started", "instance_zone", r.options.Settings.Instance.Zone, "first_start", r.options.Settings.FirstStart)
 	select {
 	case <-r.follower.Ready():
 		r.warmer.warm(serveCtx)
--- a/pkg/settings/relay.go
+++ b/pkg/settings/relay.go
@@ -23,7 +23,9 @@
 	// RequestBytes.
 	MaxRequestBytes int64
 	Bounds          RelayBounds
-	Zones           map[string]string // region of each availability zone; nil if not stated
+	// FirstStart is set when all instances start for the first time, so that none has run before.
+	FirstStart bool
+	Zones      map[string]string // region of each availability zone; nil if not stated
 	// RefuseInOverload refuses requests at once that servers cannot answer in time.
 	RefuseInOverload bool
 	// ZoneTraffic is optional.
@@ -131,6 +133,7 @@
 	s.Bounds.WarmUpOverage = 1
 	o.Optional("warmup_overage").Float(&s.Bounds.WarmUpOverage, overageRange)
 	o.Optional("warmup_slack").Float(&s.Bounds.WarmUpSlack, allowanceRange)
+	o.Optional("first_start").Bool(&s.FirstStart)
 	readZones(o.Optional("zones"), &s.Zones)
 	o.Optional("refuse_in_overload").Bool(&s.RefuseInOverload)
 	s.ZoneTraffic = defaultZoneTraffic()
--- a/pkg/suspects/limits.go
+++ b/pkg/suspects/limits.go
@@ -17,6 +17,9 @@
 	// would outlast the outage.
 	shieldTime = 30 * time.Second
 
+	// correlationTime is the time within which the losses of several servers have one cause.
+	correlationTime = time.Second
+
 	// Bounds on memory. The oldest suspect is dropped first.
 	maxSuspects = 4096
 	// successGeneration is how many requests with a success are remembered, twice.
@@ -24,6 +27,8 @@
 	// maxLossesKept exceeds MaxLosses: losses that are refuted later leave others that count,
 	// and refuted losses are kept as well.
 	maxLossesKept = 8
+	// maxRecentLosses bounds the lost runs of servers that are remembered beside the suspects.
+	maxRecentLosses = 256
 	// maxShared is the number of suspects that Shared returns.
 	maxShared = 64
 )
--- a/pkg/suspects/suspect.go
+++ b/pkg/suspects/suspect.go
@@ -10,6 +10,9 @@
 type Suspect struct {
 	Fingerprint uint64 // of the request's content
 	Losses      []Loss // by the time of their ends
+	// Unanswered is set when a caller's request has ended with a loss and without a reply of any
+	// server.
+	Unanswered bool
 }
 
 // refute marks the loss of a run of a server as refuted and reports whether that is new.
@@ -23,10 +26,14 @@
 	return false
 }
 
+func (s *Suspect) hasLost(server string) bool {
+	return slices.ContainsFunc(s.Losses, func(loss Loss) bool { return loss.Server == server })
+}
+
 // add adds a loss, unless it is known: one run of a server is lost only once. Dropped is the
 // server of the loss that had to go for it, possibly the new one, or empty.
 func (s *Suspect) add(loss Loss) (added bool, dropped string) {
-	if slices.ContainsFunc(s.Losses, func(known Loss) bool { return known.Server == loss.Server }) {
+	if s.hasLost(loss.Server) {
 		return loss.Refuted && s.refute(loss.Server, func(Loss) bool { return true }), ""
 	}
 	s.Losses = append(s.Losses, loss)
@@ -64,12 +71,20 @@
 	return len(s.Losses) >= MaxLosses
 }
 
-// verdict returns how the request may be sent.
-func (s *Suspect) verdict() Verdict {
+// verdict returns how the request may be sent. Few losses are decisive if they are those of an
+// unanswered request.
+func (s *Suspect) verdict(fewSuffice func(*Suspect, Loss) bool) Verdict {
 	indices := counted(s.Losses)
 	v := Verdict{Losses: len(indices), Latest: s.latest(), Until: s.until()}
-	if v.Quarantined() {
+	switch {
+	case len(indices) >= MaxLosses:
 		v.Since = s.Losses[indices[MaxLosses-1]].Ended
+	case s.Unanswered:
+		for _, i := range indices {
+			if v.Since.IsZero() && fewSuffice(s, s.Losses[i]) {
+				v.Since = s.Losses[i].Ended
+			}
+		}
 	}
 	return v
 }
@@ -79,5 +94,5 @@
 func (s *Suspect) until() time.Time { return s.latest().Add(QuarantineTime) }
 
 func (s *Suspect) clone() Suspect {
-	return Suspect{Fingerprint: s.Fingerprint, Losses: slices.Clone(s.Losses)}
+	return Suspect{Fingerprint: s.Fingerprint, Losses: slices.Clone(s.Losses), Unanswered: s.Unanswered}
 }
--- a/pkg/suspects/tracker.go
+++ b/pkg/suspects/tracker.go
@@ -17,11 +17,13 @@
 	suspects  map[uint64]*Suspect
 	order     []uint64            // fingerprints by the time at which they became suspects
 	lost      map[string][]uint64 // fingerprints of the suspects with a loss, by run of the server
+	recent    recentLosses
+	history   history
 	successes crashguard.SuccessSet
 }
 
-// NewTracker returns a tracker without suspects. It calls onChange for each loss that
-// changes a verdict.
+// NewTracker returns a tracker without suspects, which knows of all quarantines. It calls onChange
+// for each loss that changes a verdict.
 func NewTracker(onChange func(Change)) *Tracker {
 	return &Tracker{
 		onChange:  onChange,
@@ -31,6 +33,29 @@
 	}
 }
 
+// BeginHistory tells that other instances may have quarantined requests before now, of which this
+// one knows nothing.
+func (t *Tracker) BeginHistory(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.history.begin(now)
+}
+
+// HistoryAge returns for how long this instance has known of all quarantines, at most
+// QuarantineTime.
+func (t *Tracker) HistoryAge(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.history.age(now)
+}
+
+// MergeHistory takes over the age of another instance's history, after its suspects were merged.
+func (t *Tracker) MergeHistory(age time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.history.merge(now.Add(-age))
+}
+
 // Verdict returns how a request may be sent now.
 func (t *Tracker) Verdict(fingerprint uint64, now time.Time) Verdict {
 	t.mu.Lock()
@@ -47,7 +72,9 @@
 		t.removeLocked(fingerprint)
 		return Verdict{}
 	}
-	return s.verdict()
+	return s.verdict(func(s *Suspect, loss Loss) bool {
+		return !t.history.isComplete(now) && !t.recent.explain(s, loss)
+	})
 }
 
 // RecordLoss records that a connection was lost under a request.
@@ -58,15 +85,48 @@
 // Merge takes in what another instance knows of a suspect and reports whether any of it was
 // new.
 func (t *Tracker) Merge(reported Suspect) bool {
-	return t.merge(reported.Fingerprint, reported.Losses, true)
+	added := t.merge(reported.Fingerprint, reported.Losses, true)
+	if reported.Unanswered && t.recordUnanswered(reported.Fingerprint, true) {
+		added = true
+	}
+	return added
+}
+
+// RecordUnanswered records that a caller's request has ended with a loss and without a reply of
+// any server.
+func (t *Tracker) RecordUnanswered(fingerprint uint64) { t.recordUnanswered(fingerprint, false) }
+
+func (t *Tracker) recordUnanswered(fingerprint uint64, reported bool) (isNew bool) {
+	change, isNew := t.setUnanswered(fingerprint)
+	if isNew && change.Verdict.Quarantined() {
+		change.Reported = reported
+		t.notify([]Change{change})
+	}
+	return isNew
+}
+
+func (t *Tracker) setUnanswered(fingerprint uint64) (change Change, isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspects[fingerprint]
+	if s == nil || s.Unanswered {
+		return Change{}, false
+	}
+	s.Unanswered = true
+	latest := s.Losses[len(s.Losses)-1]
+	return Change{Fingerprint: fingerprint, Server: latest.Server, Verdict: t.verdictLocked(fingerprint, latest.Ended)}, true
 }
 
 func (t *Tracker) merge(fingerprint uint64, losses []Loss, reported bool) bool {
 	changes, added := t.addLosses(fingerprint, losses, reported)
+	t.notify(changes)
+	return added
+}
+
+func (t *Tracker) notify(changes []Change) {
 	for _, change := range changes {
 		t.onChange(change)
 	}
-	return added
 }
 
 // addLosses adds the losses that are not known yet. It returns the changes of the verdict,
@@ -75,6 +135,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, loss := range losses {
+		t.recent.record(loss)
 		if t.successes.SucceededSince(fingerprint, loss.Ended.Add(-shieldTime)) {
 			continue
 		}
@@ -155,7 +216,8 @@
 		if len(shared) == maxShared {
 			break
 		}
-		if s := t.suspects[fingerprint]; !s.expired(now) && s.widelyLost() {
+		s := t.suspects[fingerprint]
+		if !s.expired(now) && (s.widelyLost() || t.verdictLocked(fingerprint, now).Quarantined()) {
 			shared = append(shared, s.clone())
 		}
 	}
--- a/pkg/suspects/verdict.go
+++ b/pkg/suspects/verdict.go
@@ -14,7 +14,7 @@
 func (v Verdict) Suspected() bool { return v.Losses > 0 }
 
 // Quarantined reports whether the request may not be sent to any server.
-func (v Verdict) Quarantined() bool { return v.Losses >= MaxLosses }
+func (v Verdict) Quarantined() bool { return !v.Since.IsZero() }
 
 // RetryAfter returns when a request in quarantine may be tried again: soon as long as the
 // servers may still turn out to be alive, otherwise at the end of the quarantine.
