backend: a server that goes down during its reply counts as lost

Cause: once a byte of a reply had arrived, the end of the connection counted as a truncated reply, and only connections that are lost before the reply are losses. That the server is gone was not looked at.

Change: after a truncated reply the pool opens a connection in place of the lost one. A server that refuses it, then or 100 ms later, is lost. A reply without length, whose end looks whole when its server goes down, clears the request only when the server is up. The own protocol asks for the server's state, as it does for lost connections.

Ruled out: counting every truncated reply as a loss, which would suspect the requests of faulty servers.

--- a/pkg/backend/confirmcrash.go
+++ b/pkg/backend/confirmcrash.go
@@ -11,6 +11,19 @@
 // pingTimeout bounds a ping, including the wait for a connection.
 const pingTimeout = 150 * time.Millisecond
 
+// confirm corrects the status of a call whose connection was lost: before the reply, unless the
+// server turns out to be up, and during the reply, if it turns out to be down.
+func (p *Pool) confirm(ctx context.Context, conn *connection, failure *CallError, err error) {
+	switch {
+	case failure.Status == peerpb.ResultStatus_CRASHED:
+		if !p.confirmCrash(ctx) {
+			failure.Status = peerpb.ResultStatus_UNREACHABLE
+		}
+	case ctx.Err() == nil && isTruncated(conn, err) && p.confirmCrash(ctx):
+		failure.Status = peerpb.ResultStatus_CRASHED
+	}
+}
+
 // confirmCrash reports, after a connection was lost during a request, whether
 // the backend server itself went down: it accepts no new connection or has a
 // new incarnation. A server may also close a single connection because of its
--- a/pkg/backend/forward.go
+++ b/pkg/backend/forward.go
@@ -48,6 +48,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// ServerDown is set if the end of the connection was that of the reply, which the server may
+	// have sent by ending itself. It reports after a while whether the server is down.
+	ServerDown func() bool
 }
 
 // ForwardError is the only error type that Forward returns.
@@ -56,12 +59,17 @@
 	Reused bool // the connection had carried another call before
 	// NoReply is set if the deadline passed before any byte of a reply arrived.
 	NoReply bool
-	Status  peerpb.ResultStatus
-	Detail  string // for logs and callers
-	Cause   error
+	// ServerDown is set if the connection ended during the reply, but the server accepted a
+	// new one. It reports after a while whether the server is down. It has to be called.
+	ServerDown func() bool
+
+	Status peerpb.ResultStatus
+	Detail string // for logs and callers
+	Cause  error
 }
 
-// ConnectionLost reports whether the server ended the connection before it replied.
+// ConnectionLost reports whether the server ended the connection before it replied, or went down
+// during the reply.
 func (e *ForwardError) ConnectionLost() bool {
 	return e.Sent && e.Status == peerpb.ResultStatus_CRASHED
 }
@@ -99,6 +107,9 @@
 	if err != nil {
 		forwardErr := newForwardError(ctx, conn, err)
 		p.discard(conn)
+		if ctx.Err() == nil && isTruncated(conn, err) {
+			p.checkTruncated(ctx, forwardErr)
+		}
 		if forwardErr.Reused && forwardErr.NoReply {
 			p.closeIdleAfterSilence(ctx, start)
 		}
@@ -110,7 +121,21 @@
 	} else {
 		p.release(conn)
 	}
-	return &ForwardReply{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	reply := &ForwardReply{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if endsWithConnection(resp, call.Method) {
+		reply.ServerDown = p.checkLater(ctx, nil)
+	}
+	return reply, nil
+}
+
+// checkTruncated completes the error of a call whose reply was truncated.
+func (p *Pool) checkTruncated(ctx context.Context, e *ForwardError) {
+	conn, refused := p.refusesConnections(ctx)
+	if refused {
+		e.Status, e.Detail = peerpb.ResultStatus_CRASHED, "connection lost during the reply"
+		return
+	}
+	e.ServerDown = p.checkLater(ctx, conn)
 }
 
 // forwardOn writes the call to conn and reads replies, skipping those to other
--- a/pkg/backend/readreply.go
+++ b/pkg/backend/readreply.go
@@ -125,14 +125,23 @@
 	return encodings > 0, nil
 }
 
+func hasNoBody(resp *http.Response, method string) bool {
+	return method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+}
+
+// endsWithConnection reports whether the body has no length and ends with the connection.
+func endsWithConnection(resp *http.Response, method string) bool {
+	return !hasNoBody(resp, method) && len(resp.TransferEncoding) == 0 && resp.ContentLength < 0
+}
+
 // readBody reads the body that the header announces.
 func readBody(conn *connection, resp *http.Response, method string) ([]byte, error) {
 	switch {
-	case method == http.MethodHead, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+	case hasNoBody(resp, method):
 		return nil, nil
 	case len(resp.TransferEncoding) > 0:
 		return readChunked(conn.reader)
-	case resp.ContentLength < 0:
+	case endsWithConnection(resp, method):
 		return io.ReadAll(conn.reader) // until the server closes the connection
 	case resp.ContentLength > conn.remainingBytes+int64(conn.reader.Buffered()):
 		return nil, errReplyTooLarge
--- a/pkg/backend/search.go
+++ b/pkg/backend/search.go
@@ -82,9 +82,7 @@
 	if err != nil {
 		failure := classifyExchangeError(ctx, conn, err)
 		p.discard(conn)
-		if failure.Status == peerpb.ResultStatus_CRASHED && !p.confirmCrash(ctx) {
-			failure.Status = peerpb.ResultStatus_UNREACHABLE
-		}
+		p.confirm(ctx, conn, failure, err)
 		silent = conn.reused && conn.receivedBytes == 0 && failure.Status == peerpb.ResultStatus_UNREACHABLE
 		if silent {
 			p.closeIdleAfterSilence(ctx, start)
--- /dev/null
+++ b/pkg/backend/serverdown.go
@@ -0,0 +1,76 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+)
+
+const (
+	// downDialTimeout bounds a dial that shows whether the server is up.
+	downDialTimeout = 150 * time.Millisecond
+	// recheckDelay is when the server is looked at once more. A process that ends may close the
+	// connection of a call some milliseconds before its listener.
+	recheckDelay = 100 * time.Millisecond
+)
+
+// A connection that ends during a reply may be that of a faulty server, which goes on, or of one
+// that the call has crashed. Only the latter accepts no connections.
+
+// isTruncated reports whether a call failed because the connection ended during the reply.
+func isTruncated(conn *connection, err error) bool {
+	return conn.receivedBytes > 0 && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF))
+}
+
+// refusesConnections reports whether the server refuses a new connection. If it accepts one, the
+// connection is returned with its slot.
+func (p *Pool) refusesConnections(ctx context.Context) (*connection, bool) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), downDialTimeout)
+	defer cancel()
+	conn, dial, wait, err := p.tryAcquire(true)
+	switch {
+	case err != nil:
+		return nil, false
+	case !dial: // other calls use all connections
+		p.removeWaiter(wait)
+		return conn, false
+	}
+	conn, err = p.dial(ctx)
+	return conn, errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// checkLater returns a function that reports, after recheckDelay, whether the server is down. Conn
+// is a connection that it has accepted meanwhile, or nil.
+func (p *Pool) checkLater(ctx context.Context, conn *connection) func() bool {
+	return func() bool {
+		time.Sleep(recheckDelay)
+		switch {
+		case conn != nil && conn.usable():
+			p.release(conn)
+			return false
+		case conn != nil:
+			p.discard(conn)
+		case p.hasOpenIdle():
+			return false
+		}
+		conn, refused := p.refusesConnections(ctx)
+		if conn != nil {
+			p.release(conn)
+		}
+		return refused
+	}
+}
+
+// hasOpenIdle reports whether the server has left an idle connection open.
+func (p *Pool) hasOpenIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.idle {
+		if conn.usable() {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/backend/submit.go
+++ b/pkg/backend/submit.go
@@ -57,7 +57,11 @@
 	}
 	r, err := p.exchange(ctx, conn, req, 0)
 	if err != nil {
-		return nil, classifyExchangeError(ctx, conn, err)
+		failure := classifyExchangeError(ctx, conn, err)
+		if ctx.Err() == nil && isTruncated(conn, err) && p.confirmCrash(ctx) {
+			failure.Status = peerpb.ResultStatus_CRASHED
+		}
+		return nil, failure
 	}
 	return parseSubmitReply(r, call)
 }
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sycamorelift/sycamorelift/pkg/crashguard"
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
 	"github.com/sycamorelift/sycamorelift/pkg/suspects"
 )
 
@@ -19,10 +20,12 @@
 	sharded     bool
 	servesPeer  bool        // the caller is at another instance, which knows whether the request was answered
 	answered    atomic.Bool // a server has answered the request, so it does not crash servers
+	gotReply    atomic.Bool // a reply has gone out whose end may be that of its server
 	lost        atomic.Bool // a connection was lost under this request, here or at a relay
 	ended       atomic.Bool // the caller has its answer, or the sender its result
 	// reportDue is set when the losses are to be reported after the last attempt has ended.
 	reportDue atomic.Bool
+	settled   atomic.Bool // the last attempt has ended
 	// probes counts the attempts that began under suspicion and that a server may have run. Only
 	// the goroutine of the request uses it.
 	probes int
@@ -77,23 +80,60 @@
 
 // record takes in the result of an attempt that has ended.
 func (c *crashSuspicion) record(res *attemptResult, now time.Time) {
+	loss := suspects.Loss{Server: res.server.Key(), Began: res.started, Ended: now}
 	switch {
 	case res.reply != nil && res.reply.Misdirected: // another server has the address
 	case res.reply != nil:
-		c.engine.suspects.RecordAlive(res.server.Key(), res.started)
-		if res.reply.success() {
+		c.engine.suspects.RecordAlive(loss.Server, res.started)
+		switch {
+		case res.reply.ServerDown != nil:
+			go c.settleReply(res.server, loss, res.reply.success(), res.reply.ServerDown)
+		case res.reply.success():
 			c.recordReply(now)
 		}
-	case res.err.ConnectionLost && !c.answered.Load():
-		c.lost.Store(true)
-		c.engine.suspects.RecordLoss(c.fingerprint, suspects.Loss{Server: res.server.Key(), Began: res.started, Ended: now})
-		switch {
-		case !c.ended.Load(): // requestEnded reports it
-		case c.sharded:
-			c.reportDue.Store(true)
-		default:
-			c.report(now)
+	case res.err.ServerDown != nil:
+		go c.settleTruncated(loss, res.err.ServerDown)
+	case res.err.ConnectionLost:
+		c.recordLoss(loss)
+	}
+}
+
+// settleTruncated takes in an attempt whose connection ended during the reply, once it is known
+// whether the server went down.
+func (c *crashSuspicion) settleTruncated(loss suspects.Loss, serverDown func() bool) {
+	if serverDown() {
+		c.recordLoss(loss)
+	}
+}
+
+// settleReply takes in a reply that ended with its connection. A server that leaves may go down
+// right after it.
+func (c *crashSuspicion) settleReply(server *directory.Server, loss suspects.Loss, success bool, serverDown func() bool) {
+	switch down := serverDown(); {
+	case down && !server.Leaving() && !c.engine.directory.HasBegunToLeave(server):
+		c.gotReply.Store(true)
+		c.recordLoss(loss)
+	case !down && success:
+		c.recordReply(loss.Ended)
+	}
+}
+
+// recordLoss records that a server was lost while it ran the request.
+func (c *crashSuspicion) recordLoss(loss suspects.Loss) {
+	if c.answered.Load() {
+		return
+	}
+	c.lost.Store(true)
+	c.engine.suspects.RecordLoss(c.fingerprint, loss)
+	switch {
+	case !c.ended.Load(): // requestEnded reports it
+	case c.sharded:
+		c.reportDue.Store(true)
+		if c.settled.Load() {
+			c.attemptsEnded()
 		}
+	default:
+		c.report(time.Now())
 	}
 }
 
@@ -127,6 +167,7 @@
 
 // attemptsEnded makes the report that was put off until the last attempt has ended.
 func (c *crashSuspicion) attemptsEnded() {
+	c.settled.Store(true)
 	if c.reportDue.Swap(false) {
 		c.report(time.Now())
 	}
@@ -136,7 +177,7 @@
 	if !c.lost.Load() {
 		return
 	}
-	if !c.servesPeer {
+	if !c.servesPeer && !c.gotReply.Load() {
 		c.engine.suspects.RecordUnanswered(c.fingerprint)
 	}
 	if s := c.suspect(now); s != nil {
--- a/pkg/forward/pooledclient.go
+++ b/pkg/forward/pooledclient.go
@@ -79,7 +79,9 @@
 	if err != nil {
 		return nil, callError(err)
 	}
-	return c.codec.DecodeReply(reply.Status, reply.Header, reply.Body), nil
+	decoded := c.codec.DecodeReply(reply.Status, reply.Header, reply.Body)
+	decoded.ServerDown = reply.ServerDown
+	return decoded, nil
 }
 
 func callError(err error) *CallError {
@@ -91,7 +93,7 @@
 	if failed.Reused {
 		detail += " (kept connection)"
 	}
-	return &CallError{Sent: failed.Sent, ConnectionLost: failed.ConnectionLost(), Detail: detail, Cause: failed.Cause}
+	return &CallError{Sent: failed.Sent, ConnectionLost: failed.ConnectionLost(), ServerDown: failed.ServerDown, Detail: detail, Cause: failed.Cause}
 }
 
 // Warm opens a connection to a server unless one is open.
--- a/pkg/forward/reply.go
+++ b/pkg/forward/reply.go
@@ -20,6 +20,9 @@
 	// for (HTTP 421); NotRun is then set too.
 	Misdirected bool
 	Notice      replicas.Notice // what the server states about itself
+	// ServerDown is set if the end of the connection was that of the reply, which a server that
+	// goes down leaves as well. It reports after a while whether the server is down.
+	ServerDown func() bool
 }
 
 // mayBePassedOn reports whether the status is as true for the caller as it is for this
