retrybudget: after the loss of all instances only the remainder is spent

Cause: each instance counts in memory. Those that start have an unused window, and spend within the same 10 s again what the killed ones had spent.

Change: while the history of the instances is shorter than the window, each spends 0.1 of the ratio and 0.3 of the slack, which the usual shares of 0.9 and 0.7 leave. The history is the one that pkg/suspects keeps and exchanges.

Evidence: TestInstancesTogetherKeepTheBoundWhenAllAreLost failed before (57 extra arrivals, 54 allowed).

Ruled out: the number of instances that each one assumes after its start, which is too high and makes shares smaller.

--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -54,7 +54,7 @@
 func newTestbed() *testbed {
 	tb := &testbed{servers: map[string]behaviour{}, busy: map[string]time.Time{}, relays: map[string]Relay{}, replyBytes: 1 << 20}
 	tb.directory = directory.New(3*time.Second, time.Now)
-	tb.budget = retrybudget.New(testLimits, func() float64 { return 1 })
+	tb.budget = retrybudget.New(testLimits, func() float64 { return 1 }, func() time.Duration { return time.Hour })
 	tb.engine = tb.newEngine(localZone, tb)
 	return tb
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -58,6 +58,7 @@
 	budget    *retrybudget.Budget
 	members   *peering.Members
 	client    *peering.Client
+	suspects  *suspects.Tracker
 	exchanger *peering.Exchanger
 	reporter  *peering.SuspectReporter
 	lifecycle *lifecycle.Lifecycle
@@ -84,6 +85,10 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 		Millicores:  int(1000 * s.Cores),
 	}, time.Now, r.logger)
+	r.suspects = suspects.NewTracker(r.logSuspect)
+	if !s.FirstStart {
+		r.suspects.BeginHistory(time.Now())
+	}
 	r.directory = directory.New(s.Bounds.Drain, time.Now)
 	r.client = peering.NewClient()
 	r.follower = feed.NewFollower(options.Store, peering.NewSources(r.members, r.client), options.Decoder, r.directory, r.logger)
@@ -92,7 +97,7 @@
 		Ratio:     s.Bounds.ExtraRatio,
 		Allowance: s.Bounds.ExtraAllowance,
 		Window:    s.Bounds.ExtraWindow,
-	}, r.members.Share)
+	}, r.members.Share, func() time.Duration { return r.suspects.HistoryAge(time.Now()) })
 	r.registerMetrics()
 	return r, r.openListeners()
 }
@@ -156,6 +161,7 @@
 		return seconds
 	})
 	r.registry.Func("backend_connections", func() any { return r.sender.Connections() })
+	r.registry.Func("suspects_history_s", func() any { return int64(r.suspects.HistoryAge(time.Now()).Seconds()) })
 	r.registry.Func("requests_in_flight", func() any { return r.lifecycle.InFlight() })
 	r.registry.Func("log_records_dropped", func() any { return r.options.DroppedLogs() })
 }
@@ -164,12 +170,7 @@
 func (r *Instance) openListeners() error {
 	s := r.options.Settings
 	relays := peering.NewRelays(r.members, r.client)
-	tracker := suspects.NewTracker(r.logSuspect)
-	if !s.FirstStart {
-		tracker.BeginHistory(time.Now())
-	}
-	r.registry.Func("suspects_history_s", func() any { return int64(tracker.HistoryAge(time.Now()).Seconds()) })
-	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, tracker)
+	r.reporter = peering.NewSuspectReporter(r.members, r.client, relays, r.suspects)
 	observed := r.newServerTracker()
 	observed.WarmUps = r.warmUp
 	replies := shedding.NewBytes(s.ReplyBytes)
@@ -177,7 +178,7 @@
 	engine := forward.New(forward.Config{
 		Directory:        r.directory,
 		Tracker:          observed,
-		Suspects:         tracker,
+		Suspects:         r.suspects,
 		Budget:           r.budget,
 		Client:           r.sender,
 		Zone:             s.Instance.Zone,
--- a/pkg/retrybudget/budget.go
+++ b/pkg/retrybudget/budget.go
@@ -22,6 +22,16 @@
 	allowanceShare = 0.7
 )
 
+// shares are the parts of the limits that may be spent.
+type shares struct{ ratio, allowance float64 }
+
+var (
+	usualShares = shares{ratio: ratioShare, allowance: allowanceShare}
+	// sharesAfterLoss hold in the first window after the loss of all instances, which may have
+	// spent the usual shares in the same window.
+	sharesAfterLoss = shares{ratio: 1 - ratioShare, allowance: 1 - allowanceShare}
+)
+
 // Limits are the platform's limits on arrivals at a service beyond the first
 // arrival of each request.
 type Limits struct {
@@ -35,15 +45,17 @@
 type Budget struct {
 	limits            Limits
 	allowanceFraction func() float64 // fraction of the allowance that this instance may spend
+	historyAge        func() time.Duration
 
 	mu       sync.Mutex
 	services map[string]*window
 }
 
 // New returns an unused budget. Share returns the fraction of the allowance that
-// this instance may spend; the shares of all instances add up to at most 1.
-func New(limits Limits, share func() float64) *Budget {
-	return &Budget{limits: limits, allowanceFraction: share, services: make(map[string]*window)}
+// this instance may spend; the shares of all instances add up to at most 1. HistoryAge returns
+// for how long some of the instances have run without all being lost at once.
+func New(limits Limits, share func() float64, historyAge func() time.Duration) *Budget {
+	return &Budget{limits: limits, allowanceFraction: share, historyAge: historyAge, services: make(map[string]*window)}
 }
 
 // CountRequest counts a caller's request for a service, which adds to the budget.
@@ -84,7 +96,11 @@
 }
 
 func (b *Budget) allowed(w *window) float64 {
-	return ratioShare*b.limits.Ratio*w.requests() + allowanceShare*b.limits.Allowance*b.allowanceFraction()
+	s := usualShares
+	if b.historyAge() < b.limits.Window {
+		s = sharesAfterLoss
+	}
+	return s.ratio*b.limits.Ratio*w.requests() + s.allowance*b.limits.Allowance*b.allowanceFraction()
 }
 
 func (b *Budget) windowLocked(service string, now time.Time) *window {
--- a/pkg/retrybudget/budget_test.go
+++ b/pkg/retrybudget/budget_test.go
@@ -10,6 +10,9 @@
 
 var limits = Limits{Ratio: 0.2, Allowance: 54, Window: 10 * time.Second}
 
+// longHistory is that of instances that have never been lost all at once.
+func longHistory() time.Duration { return time.Hour }
+
 type event struct {
 	at    time.Time
 	extra bool
@@ -40,7 +43,7 @@
 		now := time.Unix(1000, 0)
 		budgets := make([]*Budget, instances)
 		for i := range budgets {
-			budgets[i] = New(limits, func() float64 { return 1 / float64(instances) })
+			budgets[i] = New(limits, func() float64 { return 1 / float64(instances) }, longHistory)
 		}
 		var events []event
 		phases := rapid.SliceOfN(rapid.IntRange(0, 12), 3, 8).Draw(t, "requests per step")
@@ -69,7 +72,7 @@
 // hedges for one request in twenty must always be allowed.
 func TestSteadyTrafficCanHedge(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := New(limits, func() float64 { return 1.0 / 7 })
+	b := New(limits, func() float64 { return 1.0 / 7 }, longHistory)
 	denied := 0
 	for n := range 2000 {
 		now = now.Add(70 * time.Millisecond)
@@ -84,7 +87,7 @@
 // Guards against a budget that stays charged for attempts that reached no server.
 func TestReturnedExtraCanBeSpentAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := New(Limits{Ratio: 0.2, Allowance: 2 / allowanceShare, Window: 10 * time.Second}, func() float64 { return 1 })
+	b := New(Limits{Ratio: 0.2, Allowance: 2 / allowanceShare, Window: 10 * time.Second}, func() float64 { return 1 }, longHistory)
 	assert.Assert(t, b.Spend("s", now))
 	assert.Assert(t, b.Spend("s", now))
 	assert.Assert(t, !b.Spend("s", now))
@@ -93,3 +96,42 @@
 	now = now.Add(11 * time.Second)
 	assert.Assert(t, b.Spend("s", now))
 }
+
+// Guards against a budget that is spent twice in one window: all instances are lost at once after
+// they have spent what they could, and those that start know nothing of it.
+func TestInstancesTogetherKeepTheBoundWhenAllAreLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 8).Draw(t, "instances")
+		perStep := rapid.IntRange(0, 20).Draw(t, "requests per step")
+		downTime := time.Duration(rapid.IntRange(0, 30).Draw(t, "down time, steps")) * 100 * time.Millisecond
+		spendFrom := rapid.IntRange(0, 150).Draw(t, "first step with extra arrivals")
+		now := time.Unix(1000, 0)
+		var events []event
+		play := func(steps, spendFrom int, history func() time.Duration) {
+			budgets := make([]*Budget, instances)
+			for i := range budgets {
+				budgets[i] = New(limits, func() float64 { return 1 / float64(instances) }, history)
+			}
+			for step := range steps {
+				now = now.Add(100 * time.Millisecond)
+				for n := range perStep {
+					budgets[n%instances].CountRequest("s", now)
+					events = append(events, event{at: now})
+				}
+				for _, b := range budgets {
+					for range 5 {
+						if step >= spendFrom && b.Spend("s", now) {
+							events = append(events, event{at: now, extra: true})
+						}
+					}
+				}
+				extra, allowed := countAndBound(events, now)
+				assert.Assert(t, extra <= allowed, "%v extra, %v allowed", extra, allowed)
+			}
+		}
+		play(150, spendFrom, longHistory)
+		now = now.Add(downTime)
+		started := now
+		play(150, 0, func() time.Duration { return now.Sub(started) })
+	})
+}
