peering: what callers and servers state need not be UTF-8

Change: these fields are bytes; on the wire they are as before, so that older builds understand them. Texts of events are made valid.

Evidence: TestPartsTravelUnchanged, with such values, failed before ("encode request for parts: string field contains invalid UTF-8"). Ruled out: names of shards, routes and zones, which come from JSON, and Host, which net/http checks.

--- a/pkg/peering/relays.go
+++ b/pkg/peering/relays.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -186,9 +187,9 @@
 func partsRequest(call *forward.PartsCall, now time.Time) *peeringpb.PartsRequest {
 	request := call.Request
 	m := &peeringpb.PartsRequest{
-		RequestId:    request.ID,
+		RequestId:    []byte(request.ID),
 		Method:       request.Method,
-		Target:       request.Target,
+		Target:       []byte(request.Target),
 		Host:         request.Host,
 		Body:         request.Body,
 		Services:     call.Services,
@@ -208,7 +209,7 @@
 	}
 	for name, values := range request.Header {
 		for _, value := range values {
-			m.Header = append(m.Header, &peeringpb.HeaderField{Name: name, Value: value})
+			m.Header = append(m.Header, &peeringpb.HeaderField{Name: name, Value: []byte(value)})
 		}
 	}
 	for _, n := range call.MaxConnections {
@@ -220,14 +221,14 @@
 func partsCall(m *peeringpb.PartsRequest, now time.Time) *forward.PartsCall {
 	header := make(http.Header, len(m.GetHeader()))
 	for _, field := range m.GetHeader() {
-		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
+		header[field.GetName()] = append(header[field.GetName()], string(field.GetValue()))
 	}
 	deadline := now.Add(fromMilliseconds(m.GetDeadlineMs()))
 	call := &forward.PartsCall{
 		Request: &forward.Request{
-			ID:       m.GetRequestId(),
+			ID:       string(m.GetRequestId()),
 			Method:   m.GetMethod(),
-			Target:   m.GetTarget(),
+			Target:   string(m.GetTarget()),
 			Host:     m.GetHost(),
 			Header:   header,
 			Body:     m.GetBody(),
@@ -264,10 +265,10 @@
 		Retries:  uint32(result.Retries),
 	}
 	for _, p := range result.Parts {
-		m.Parts = append(m.Parts, &peeringpb.Part{Index: uint32(p.Index), Proof: p.Proof, Body: p.Body})
+		m.Parts = append(m.Parts, &peeringpb.Part{Index: uint32(p.Index), Proof: []byte(p.Proof), Body: p.Body})
 	}
 	for _, l := range result.Lost {
-		m.Lost = append(m.Lost, &peeringpb.Lost{Index: uint32(l.Index), Arrivals: uint32(max(l.Arrivals, 0)), MayRun: l.MayRun, Again: l.ExpiredServers, Event: l.Event})
+		m.Lost = append(m.Lost, &peeringpb.Lost{Index: uint32(l.Index), Arrivals: uint32(max(l.Arrivals, 0)), MayRun: l.MayRun, Again: l.ExpiredServers, Event: strings.ToValidUTF8(l.Event, "?")})
 	}
 	if result.Suspect != nil {
 		m.Suspect = suspectToProto(*result.Suspect, time.Now())
@@ -284,7 +285,7 @@
 		Retries:  bounded(m.GetRetries(), math.MaxInt32),
 	}
 	for _, p := range m.GetParts() {
-		result.Parts = append(result.Parts, forward.Part{Index: bounded(p.GetIndex(), math.MaxInt32), Proof: p.GetProof(), Body: p.GetBody()})
+		result.Parts = append(result.Parts, forward.Part{Index: bounded(p.GetIndex(), math.MaxInt32), Proof: string(p.GetProof()), Body: p.GetBody()})
 	}
 	for _, l := range m.GetLost() {
 		result.Lost = append(result.Lost, forward.LostPart{
--- a/pkg/peering/server.go
+++ b/pkg/peering/server.go
@@ -75,7 +75,7 @@
 	header["Date"] = nil
 	w.WriteHeader(http.StatusOK)
 	if err := http.NewResponseController(w).Flush(); err != nil {
-		s.logger.Debug("request for parts not accepted", "request_id", m.GetRequestId(), "error", err)
+		s.logger.Debug("request for parts not accepted", "request_id", string(m.GetRequestId()), "error", err)
 		return
 	}
 	var last *forward.PartsResult
@@ -87,9 +87,9 @@
 	})
 	switch {
 	case err != nil:
-		s.logger.Info("parts not delivered", "request_id", m.GetRequestId(), "error", err)
+		s.logger.Info("parts not delivered", "request_id", string(m.GetRequestId()), "error", err)
 	case !complete:
-		s.logger.Info("parts no longer wanted", "request_id", m.GetRequestId(), "shards", len(m.GetServices()))
+		s.logger.Info("parts no longer wanted", "request_id", string(m.GetRequestId()), "shards", len(m.GetServices()))
 	default:
 		s.logMissingParts(m, last, time.Since(received))
 	}
@@ -117,6 +117,6 @@
 	for _, l := range result.Lost {
 		missing = append(missing, m.GetServices()[l.Index]+": "+l.Event)
 	}
-	s.logger.Info("parts incomplete", "request_id", m.GetRequestId(), "shards", len(m.GetServices()), "missing", missing,
+	s.logger.Info("parts incomplete", "request_id", string(m.GetRequestId()), "shards", len(m.GetServices()), "missing", missing,
 		"attempts", result.Attempts, "hedges", result.Hedges, "troubles", result.Events, "took_ms", took.Milliseconds())
 }
--- a/pkg/peering/wire_test.go
+++ b/pkg/peering/wire_test.go
@@ -107,15 +107,18 @@
 	}
 }
 
-// Guards against requests and parts that are altered on their way between instances.
+// Guards against requests and parts that are altered on their way between instances, or cannot be
+// encoded because they are not UTF-8: a sound relay then counted as one that has failed.
 func TestPartsTravelUnchanged(t *testing.T) {
 	g := &stubGatherer{results: []*forward.PartsResult{
 		{Parts: []forward.Part{{Index: 1, Proof: "p1"}}, Body: []byte("merged")},
-		{Final: true, Parts: []forward.Part{{Index: 0, Proof: "p0", Body: []byte("own")}}, Attempts: 3, Hedges: 1, Retries: 2,
+		{Final: true, Parts: []forward.Part{{Index: 0, Proof: "p0\xff", Body: []byte("own")}}, Attempts: 3, Hedges: 1, Retries: 2,
 			Lost: []forward.LostPart{{Index: 1, Arrivals: 2, MayRun: true, Event: "e"}}},
 	}}
 	p := servePeer(t, stubFeed{}, g)
 	call := partsCallOf("s0", "s1")
+	call.Request.ID, call.Request.Target = "id\xe9", "/a/caf\xe9"
+	call.Request.Header["X-Name"] = []string{"caf\xe9"}
 	accepted := 0
 	var got []*forward.PartsResult
 	relay := NewRelays(p.members, p.client).Pick("z2")
@@ -124,7 +127,7 @@
 	assert.Equal(t, accepted, 1)
 	assert.DeepEqual(t, got, g.results)
 	for _, same := range []struct{ sent, received any }{
-		{call.Request.Header, g.call.Request.Header}, {call.Request.Target, g.call.Request.Target},
+		{call.Request.ID, g.call.Request.ID}, {call.Request.Header, g.call.Request.Header}, {call.Request.Target, g.call.Request.Target},
 		{call.Request.Body, g.call.Request.Body}, {call.Request.Host, g.call.Request.Host},
 		{call.Services, g.call.Services}, {call.MaxConnections, g.call.MaxConnections}, {call.Zones, g.call.Zones},
 		{call.Top, g.call.Top}, {call.MaxAttempts, g.call.MaxAttempts}, {call.Target, g.call.Target}, {call.Merge, g.call.Merge}, {call.MaxMissingShare, g.call.MaxMissingShare}, {call.SameZone, g.call.SameZone},
