forward: a result that is ready when the caller leaves starts nothing

A failed attempt was handled before the check whether the caller has left, so that one more attempt could begin.

Change: results and relay events are dropped once the context has ended.

Ruled out: timers and wake-ups, which are followed by the check.

--- a/pkg/forward/activerequest.go
+++ b/pkg/forward/activerequest.go
@@ -179,9 +179,13 @@
 		timer.Reset(wakeup.Sub(now))
 		select {
 		case res := <-r.results:
-			r.handleResult(res)
+			if ctx.Err() == nil {
+				r.handleResult(res)
+			}
 		case e := <-r.relayEvents:
-			r.handleRelayEvent(e)
+			if ctx.Err() == nil {
+				r.handleRelayEvent(e)
+			}
 		case <-timer.C:
 			fired := time.Now()
 			r.engine.shedding.Shortage.RecordTimer(fired.Sub(wakeup), fired)
@@ -192,7 +196,7 @@
 		}
 		if ctx.Err() != nil {
 			// select picks at random among events that are ready. Nothing new may start
-			// after the caller has left.
+			// after the caller has left, also not because of the event that was picked.
 			r.cancel()
 			return false
 		}
