--- a/pkg/feed/drainedzone_test.go
+++ b/pkg/feed/drainedzone_test.go
@@ -70,3 +70,35 @@
 		assert.Equal(t, f.Table().Version(), int64(2))
 	})
 }
+
+// The store comes back from a copy in which a zone is not drained yet, and the operator writes that
+// again or not. Guards against a drain that the copy undoes, and against one that stays for good.
+func TestDrainedZoneSurvivesARestoredStore(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		simulate(t, func(ctx context.Context, store *fakeStore) {
+			store.restore(store.copy()) // the era becomes known
+			reader := startFollower(ctx, store, noPeers{})
+			<-reader.Ready()
+			follower := startFollower(ctx, store, onePeer{followed: reader})
+			<-follower.Ready()
+			time.Sleep(rewriteTime)
+			copied := store.copy()
+			store.write("drained/z", "{}")
+			time.Sleep(propagationTime)
+			store.restore(copied)
+			restored := time.Now()
+			for ; time.Since(restored) < rewriteTime-100*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+				assert.Equal(t, drainedZones(reader), 1, "reader, %v after the restore", time.Since(restored))
+				assert.Equal(t, drainedZones(follower), 1, "follower, %v after the restore", time.Since(restored))
+			}
+			want := 0
+			if again {
+				store.write("drained/z", "{}")
+				want = 1
+			}
+			time.Sleep(2 * propagationTime)
+			assert.Equal(t, drainedZones(reader), want)
+			assert.Equal(t, drainedZones(follower), want)
+		})
+	}
+}
