--- a/pkg/feed/cutreader_test.go
+++ b/pkg/feed/cutreader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,9 +14,17 @@
 // after which it delivers what it has held up.
 type cutLink struct {
 	*fakeStore
+
+	mu          sync.Mutex
 	from, until time.Time
 }
 
+func (l *cutLink) cut(from, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.from, l.until = from, until
+}
+
 func (l *cutLink) Read(ctx context.Context) (Batch, error) {
 	b, err := l.fakeStore.Read(ctx)
 	return b, l.delivered(ctx, err)
@@ -28,10 +37,13 @@
 
 func (l *cutLink) delivered(ctx context.Context, err error) error {
 	now := time.Now()
-	if now.Before(l.from) || !now.Before(l.until) {
+	l.mu.Lock()
+	from, until := l.from, l.until
+	l.mu.Unlock()
+	if now.Before(from) || !now.Before(until) {
 		return err
 	}
-	sleep(ctx, l.until.Sub(now))
+	sleep(ctx, until.Sub(now))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -58,7 +70,7 @@
 						// The watches of reader and follower are at a different point for each case.
 						time.Sleep(5*time.Second + (cut*7+offset*3)%(2*time.Second))
 						from := time.Now().Add(200 * time.Millisecond)
-						way.from, way.until = from, from.Add(cut)
+						way.cut(from, from.Add(cut))
 						time.Sleep(200*time.Millisecond + offset)
 						store.write("server/a", leave)
 						store.write("server/b", leave)
--- a/pkg/forward/crashduringreply_test.go
+++ b/pkg/forward/crashduringreply_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,11 +79,10 @@
 			t.Run(name+", "+ending, func(t *testing.T) {
 				simulate(t, func(t *testing.T, tb *testbed) {
 					route := makeRoute(tb)
-					asked := 0
+					var asked atomic.Int64
 					for id := range tb.servers {
 						tb.setBehaviour(id, func(ctx context.Context, call Call) (*Reply, error) {
-							asked++
-							if asked%2 == 0 {
+							if asked.Add(1)%2 == 0 {
 								return answersAfter(work)(ctx, call)
 							}
 							return end(func() bool {
