feed, directory: entries that expire in an outage do not empty a service

Change: two instances, one after the other, that have lost the store since it last confirmed the view tell of an outage as well. A leaving server is the last resort for a fifth of the drain time at least.

--- a/pkg/directory/lastresort.go
+++ b/pkg/directory/lastresort.go
@@ -7,6 +7,9 @@
 	// server leaves, during which the server may still get requests if its service has no
 	// other server.
 	lastResortShare = 0.5
+	// leastLastResortShare is the same for a server whose drain time may be over. An instance that
+	// reaches the platform, or another one that does, learns of the change within the rest.
+	leastLastResortShare = 0.2
 	// sendMargin is how long before the end of the drain time a leaving server gets its last
 	// request, so that the request arrives within it.
 	sendMargin = 100 * time.Millisecond
@@ -23,11 +26,15 @@
 // whose source has lost the platform without noticing learns of it late, so the drain time is
 // counted from the earliest possible time.
 func (l lastResort) end(learned, after time.Time) time.Time {
-	end := learned.Add(time.Duration(lastResortShare * float64(l.drain)))
+	end := learned.Add(l.share(lastResortShare))
 	if after.IsZero() {
 		return end
 	}
-	return earlier(end, after.Add(l.drain-sendMargin))
+	return earlier(end, later(after.Add(l.drain-sendMargin), learned.Add(l.share(leastLastResortShare))))
+}
+
+func (l lastResort) share(share float64) time.Duration {
+	return time.Duration(share * float64(l.drain))
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -37,4 +44,11 @@
 	return a
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (s *Server) lastResortExpired(now time.Time) bool { return now.After(s.lastResortUntil) }
--- a/pkg/feed/cutreader_test.go
+++ b/pkg/feed/cutreader_test.go
@@ -118,22 +118,30 @@
 }
 
 // The store is away for long enough that the entries of all servers expire, and these come back
-// a while after its return. Guards against a service without servers in between.
+// a while after its return. Guards against a service without servers in between, at readers, at
+// instances that follow one, and in zones where most instances do not call the store meanwhile.
 func TestServersWhoseEntriesExpireInAnOutageAreTheLastResort(t *testing.T) {
-	simulate(t, func(ctx context.Context, store *fakeStore) {
-		reader := startFollower(ctx, store, noPeers{})
-		<-reader.Ready()
-		follower := startFollower(ctx, store, onePeer{followed: reader})
-		<-follower.Ready()
-		time.Sleep(5 * time.Second)
-		store.setDown(true)
-		time.Sleep(8 * time.Second)
-		store.write("server/a", "")
-		store.write("server/b", "")
-		store.setDown(false)
-		for returned := time.Now(); time.Since(returned) < testDrain/2; time.Sleep(20 * time.Millisecond) {
-			assert.Equal(t, usableServers(reader), "a b")
-			assert.Equal(t, usableServers(follower), "a b")
+	for _, forgets := range []bool{false, true} {
+		for _, outage := range []time.Duration{3600 * time.Millisecond, 5 * time.Second, 8 * time.Second, 21 * time.Second} {
+			t.Run(fmt.Sprintf("outage of %v, history is gone %v", outage, forgets), func(t *testing.T) {
+				simulate(t, func(ctx context.Context, store *fakeStore) {
+					followers := startZone(ctx, store, store, 40)
+					time.Sleep(5 * time.Second)
+					store.setDown(true)
+					time.Sleep(outage)
+					store.write("server/a", "")
+					store.write("server/b", "")
+					if forgets {
+						store.dropHistory()
+					}
+					store.setDown(false)
+					for returned := time.Now(); time.Since(returned) < testDrain/2; time.Sleep(20 * time.Millisecond) {
+						for n, f := range followers {
+							assert.Equal(t, usableServers(f), "a b", "instance %d, %v after the return", n, time.Since(returned))
+						}
+					}
+				})
+			})
 		}
-	})
+	}
 }
--- a/pkg/feed/dating.go
+++ b/pkg/feed/dating.go
@@ -8,7 +8,7 @@
 	switch {
 	case !l.hasView:
 		return time.Time{}
-	case l.storeFailures > 0:
+	case l.storeFailures > 0 || l.staleSources.tellOfOutage(l.follower.confirmed.time()):
 		// Entries that expire while the store is away belong to servers that mostly work.
 		return now
 	default:
--- a/pkg/feed/followfailure.go
+++ b/pkg/feed/followfailure.go
@@ -31,12 +31,16 @@
 		f.setStoreLost(true)
 		return peerPause
 	}
+	stale := (*StaleViewError)(nil)
+	isStale := errors.As(err, &stale)
+	if isStale {
+		l.staleSources.record(now, f.confirmed.time())
+	}
 	if now.After(l.skipReaderUntil) {
 		// The first watch of the store returns at once and only confirms the view, for the
 		// instances that follow this one in place of the reader.
 		l.skipReaderUntil, l.skipNextWait = now.Add(readerBackoff), true
-		stale := (*StaleViewError)(nil)
-		l.readerAnswers = errors.As(err, &stale)
+		l.readerAnswers = isStale
 		return peerPause
 	}
 	l.failedStandbys++
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -40,8 +40,9 @@
 	pacing              readPacing
 	loggedEras          map[int64]bool // eras of the store that have ended and were logged
 	missingEraLogged    bool
-	consecutiveFailures int       // calls failed in a row, to any source
-	storeFailures       int       // calls to the store failed in a row
+	consecutiveFailures int // calls failed in a row, to any source
+	storeFailures       int // calls to the store failed in a row
+	staleSources        staleSources
 	skipReaderUntil     time.Time // the zone's reader is not followed before
 	readerAnswers       bool      // but has lost the store
 	failedStandbys      int       // standby readers that failed since the reader did
