forward: a single lost connection quarantines only if the server is down

After the loss of all instances one loss may quarantine a request. A connection that is reset while its server stays up was such a loss unless the server happened to answer another request within a second, so a harmless request, of a path that many callers may share, could be refused for ten minutes.

Nothing changes while the history is complete.

Evidence: TestLostConnectionQuarantinesOnlyIfTheServerIsDown fails for a connection that is only lost when the check is left out.

--- a/pkg/backend/forward.go
+++ b/pkg/backend/forward.go
@@ -130,12 +130,11 @@
 
 // checkTruncated completes the error of a call whose reply was truncated.
 func (p *Pool) checkTruncated(ctx context.Context, e *ForwardError) {
-	conn, refused := p.refusesConnections(ctx)
-	if refused {
+	down, later := p.ServerDown(ctx)
+	if down {
 		e.Status, e.Detail = peerpb.ResultStatus_CRASHED, "connection lost during the reply"
-		return
 	}
-	e.ServerDown = p.checkLater(ctx, conn)
+	e.ServerDown = later
 }
 
 // forwardOn writes the call to conn and reads replies, skipping those to other
--- a/pkg/backend/serverdown.go
+++ b/pkg/backend/serverdown.go
@@ -41,6 +41,16 @@
 	return conn, errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// ServerDown reports whether the server refuses connections. If not, later is set and reports the
+// same after a while; it has to be called.
+func (p *Pool) ServerDown(ctx context.Context) (down bool, later func() bool) {
+	conn, refused := p.refusesConnections(ctx)
+	if refused {
+		return true, nil
+	}
+	return false, p.checkLater(ctx, conn)
+}
+
 // checkLater returns a function that reports, after recheckDelay, whether the server is down. Conn
 // is a connection that it has accepted meanwhile, or nil.
 func (p *Pool) checkLater(ctx context.Context, conn *connection) func() bool {
--- a/pkg/forward/backendclient.go
+++ b/pkg/forward/backendclient.go
@@ -33,4 +33,7 @@
 // immediately.
 type BackendClient interface {
 	Call(ctx context.Context, call Call) (*Reply, error)
+	// ServerDown reports whether a server to which there was a connection accepts no more of them.
+	// If it does, later may be set, which reports the same after a while and has to be called.
+	ServerDown(server *directory.Server) (down bool, later func() bool)
 }
--- a/pkg/forward/crashhistory_test.go
+++ b/pkg/forward/crashhistory_test.go
@@ -181,3 +181,50 @@
 		})
 	}
 }
+
+// Instances that have just started lose a connection to a server under a request. Guards against a
+// quarantine because of a connection that was reset while its server stays up, and against none
+// because the server still accepted connections when it went down.
+func TestLostConnectionQuarantinesOnlyIfTheServerIsDown(t *testing.T) {
+	for name, c := range map[string]struct {
+		down, laterDown, quarantined bool
+	}{
+		"server is down":         {down: true, quarantined: true},
+		"server goes down":       {laterDown: true, quarantined: true},
+		"only a lost connection": {},
+	} {
+		for kind, makeRoute := range historyRoutes {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				simulate(t, func(t *testing.T, tb *testbed) {
+					route := makeRoute(tb)
+					if len(route.Shards) >= suspects.MaxLosses {
+						return // the usual number of losses quarantines it
+					}
+					route.MaxAttempts = 1
+					scene := newCrashScene(tb, 3)
+					scene.loseAll()
+					for id := range tb.servers {
+						tb.setBehaviour(id, crashes)
+					}
+					tb.serverDown = func(*directory.Server) (bool, func() bool) {
+						if c.down {
+							return true, nil
+						}
+						return false, func() bool {
+							time.Sleep(settleTime)
+							return c.laterDown
+						}
+					}
+					scene.send(route, 0, "/x/shared")
+					time.Sleep(2 * settleTime)
+					for n := range scene.engines {
+						now := time.Now()
+						request := &Request{ID: "again", Method: "GET", Target: "/x/shared", Host: "h", Arrived: now}
+						verdict := newCrashSuspicion(scene.engines[n], request, route.Sharded()).verdict(now)
+						assert.Equal(t, verdict.Quarantined(), c.quarantined, "instance %d", n)
+					}
+				})
+			})
+		}
+	}
+}
--- a/pkg/forward/crashsuspicion.go
+++ b/pkg/forward/crashsuspicion.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,10 @@
 	// reportDue is set when the losses are to be reported after the last attempt has ended.
 	reportDue atomic.Bool
 	settled   atomic.Bool // the last attempt has ended
+
+	mu          sync.Mutex
+	lostServers []*directory.Server // lost here under this request, not at relays
+
 	// probes counts the attempts that began under suspicion and that a server may have run. Only
 	// the goroutine of the request uses it.
 	probes int
@@ -92,17 +97,17 @@
 			c.recordReply(now)
 		}
 	case res.err.ServerDown != nil:
-		go c.settleTruncated(loss, res.err.ServerDown)
+		go c.settleTruncated(res.server, loss, res.err.ServerDown)
 	case res.err.ConnectionLost:
-		c.recordLoss(loss)
+		c.recordLoss(res.server, loss)
 	}
 }
 
 // settleTruncated takes in an attempt whose connection ended during the reply, once it is known
 // whether the server went down.
-func (c *crashSuspicion) settleTruncated(loss suspects.Loss, serverDown func() bool) {
+func (c *crashSuspicion) settleTruncated(server *directory.Server, loss suspects.Loss, serverDown func() bool) {
 	if serverDown() {
-		c.recordLoss(loss)
+		c.recordLoss(server, loss)
 	}
 }
 
@@ -112,17 +117,20 @@
 	switch down := serverDown(); {
 	case down && !server.Leaving() && !c.engine.directory.HasBegunToLeave(server):
 		c.gotReply.Store(true)
-		c.recordLoss(loss)
+		c.recordLoss(server, loss)
 	case !down && success:
 		c.recordReply(loss.Ended)
 	}
 }
 
 // recordLoss records that a server was lost while it ran the request.
-func (c *crashSuspicion) recordLoss(loss suspects.Loss) {
+func (c *crashSuspicion) recordLoss(server *directory.Server, loss suspects.Loss) {
 	if c.answered.Load() {
 		return
 	}
+	c.mu.Lock()
+	c.lostServers = append(c.lostServers, server)
+	c.mu.Unlock()
 	c.lost.Store(true)
 	c.engine.suspects.RecordLoss(c.fingerprint, loss)
 	switch {
@@ -177,14 +185,53 @@
 	if !c.lost.Load() {
 		return
 	}
-	if !c.servesPeer && !c.gotReply.Load() {
-		c.engine.suspects.RecordUnanswered(c.fingerprint)
+	if !c.servesPeer && !c.gotReply.Load() && c.engine.suspects.HistoryAge(now) < suspects.QuarantineTime {
+		c.recordUnanswered()
 	}
+	c.share(now)
+}
+
+func (c *crashSuspicion) share(now time.Time) {
 	if s := c.suspect(now); s != nil {
 		c.engine.onSuspect(*s)
 	}
 }
 
+// recordUnanswered records that the request has ended without a reply, which may quarantine it. A
+// server that accepts connections has lost only that of the request.
+func (c *crashSuspicion) recordUnanswered() {
+	c.mu.Lock()
+	lost := c.lostServers
+	c.lostServers = nil
+	c.mu.Unlock()
+	if len(lost) >= suspects.MaxLosses {
+		return // their number quarantines the request
+	}
+	isDown := len(lost) == 0 // relays have lost the servers
+	for _, server := range lost {
+		down, later := c.engine.client.ServerDown(server)
+		isDown = isDown || down
+		if later != nil {
+			go c.settleLost(server, later)
+		}
+	}
+	if isDown {
+		c.engine.suspects.RecordUnanswered(c.fingerprint)
+	}
+}
+
+// settleLost takes in the later state of a server that accepted connections after a loss.
+func (c *crashSuspicion) settleLost(server *directory.Server, serverDown func() bool) {
+	down := serverDown()
+	switch now := time.Now(); {
+	case !down:
+		c.engine.suspects.RecordAlive(server.Key(), now)
+	case !c.answered.Load():
+		c.engine.suspects.RecordUnanswered(c.fingerprint)
+		c.share(now)
+	}
+}
+
 // holdBack delays a request that one more loss would quarantine for a random time, so that
 // copies of it at several instances do not all begin before the first of them is lost. Sharded
 // requests are not delayed: under suspicion they ask one server at a time.
--- a/pkg/forward/drainedzone_test.go
+++ b/pkg/forward/drainedzone_test.go
@@ -281,3 +281,6 @@
 		assert.Assert(t, tb.reached(".a"))
 	})
 }
+
+// ServerDown implements BackendClient.
+func (clientFunc) ServerDown(*directory.Server) (down bool, later func() bool) { return false, nil }
--- a/pkg/forward/pooledclient.go
+++ b/pkg/forward/pooledclient.go
@@ -96,6 +96,17 @@
 	return &CallError{Sent: failed.Sent, ConnectionLost: failed.ConnectionLost(), ServerDown: failed.ServerDown, Detail: detail, Cause: failed.Cause}
 }
 
+// ServerDown implements BackendClient.
+func (c *PooledClient) ServerDown(server *directory.Server) (down bool, later func() bool) {
+	c.mu.Lock()
+	entry := c.pools[server.Key()]
+	c.mu.Unlock()
+	if entry == nil {
+		return false, nil
+	}
+	return entry.pool.ServerDown(context.Background())
+}
+
 // Warm opens a connection to a server unless one is open.
 func (c *PooledClient) Warm(ctx context.Context, server *directory.Server, connections int) error {
 	return c.pool(server, connections).Warm(ctx)
--- a/pkg/forward/testbed_test.go
+++ b/pkg/forward/testbed_test.go
@@ -39,6 +39,8 @@
 	reports   atomic.Int32        // of suspects
 	// reportDelay returns how long a report takes; nil means that it arrives at once.
 	reportDelay func() time.Duration
+	// serverDown is ServerDown of the client; nil means that each server is down.
+	serverDown func(*directory.Server) (bool, func() bool)
 
 	mu       sync.Mutex
 	servers  map[string]behaviour // by id; a server without an entry answers after work
@@ -130,6 +132,15 @@
 	return act(ctx, call)
 }
 
+// ServerDown implements BackendClient. A server that has lost a connection is down unless the test
+// says otherwise.
+func (tb *testbed) ServerDown(server *directory.Server) (down bool, later func() bool) {
+	if tb.serverDown == nil {
+		return true, nil
+	}
+	return tb.serverDown(server)
+}
+
 func (tb *testbed) recordArrival(call Call) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
