--- a/pkg/backend/pool.go
+++ b/pkg/backend/pool.go
@@ -165,21 +165,21 @@
 	if err != nil {
 		return err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conn.lastUse = time.Now()
-	p.idle = append(p.idle, conn)
-	p.wakeWaitersLocked()
+	p.keep(conn)
 	return nil
 }
 
-// release returns a connection whose call has completed to the pool, or closes it
-// if the pool is closed or above its limit. It also closes expired idle
-// connections.
+// release returns a connection whose call has completed to the pool.
 func (p *Pool) release(conn *connection) {
+	conn.reused = true
+	p.keep(conn)
+}
+
+// keep adds a connection to the idle ones, or closes it if the pool is closed or above its limit.
+// It also closes expired idle connections.
+func (p *Pool) keep(conn *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conn.reused = true
 	// The time is read under the lock so that p.idle stays ordered by last use.
 	conn.lastUse = time.Now()
 	if p.closed || p.open > p.limit {
--- a/pkg/backend/serverdown.go
+++ b/pkg/backend/serverdown.go
@@ -16,10 +16,9 @@
 	recheckDelay = 100 * time.Millisecond
 )
 
-// A connection that ends during a reply may be that of a faulty server, which goes on, or of one
-// that the call has crashed. Only the latter accepts no connections.
-
-// isTruncated reports whether a call failed because the connection ended during the reply.
+// isTruncated reports whether a call failed because the connection ended during the reply. The
+// server may be faulty and go on, or the call has crashed it. Only in the second case it accepts no
+// connections.
 func isTruncated(conn *connection, err error) bool {
 	return conn.receivedBytes > 0 && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF))
 }
@@ -29,15 +28,15 @@
 func (p *Pool) refusesConnections(ctx context.Context) (*connection, bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), downDialTimeout)
 	defer cancel()
-	conn, dial, wait, err := p.tryAcquire(true)
+	_, dial, wait, err := p.tryAcquire(true)
 	switch {
 	case err != nil:
 		return nil, false
 	case !dial: // other calls use all connections
 		p.removeWaiter(wait)
-		return conn, false
+		return nil, false
 	}
-	conn, err = p.dial(ctx)
+	conn, err := p.dial(ctx)
 	return conn, errors.Is(err, syscall.ECONNREFUSED)
 }
 
@@ -58,7 +57,7 @@
 		time.Sleep(recheckDelay)
 		switch {
 		case conn != nil && conn.usable():
-			p.release(conn)
+			p.keep(conn)
 			return false
 		case conn != nil:
 			p.discard(conn)
@@ -67,7 +66,7 @@
 		}
 		conn, refused := p.refusesConnections(ctx)
 		if conn != nil {
-			p.release(conn)
+			p.keep(conn)
 		}
 		return refused
 	}
--- a/pkg/peering/suspectreporter.go
+++ b/pkg/peering/suspectreporter.go
@@ -153,7 +153,11 @@
 		}
 	}
 	if age := m.GetSuspectsHistoryMs(); age > 0 {
+		before := r.tracker.HistoryAge(now)
 		r.tracker.MergeHistory(fromMilliseconds(age), now)
+		if before < suspects.QuarantineTime && r.tracker.HistoryAge(now) == suspects.QuarantineTime {
+			r.members.logger.Info("all quarantines are known", "origin", sender.ID)
+		}
 	}
 }
 
--- a/pkg/suspects/tracker_test.go
+++ b/pkg/suspects/tracker_test.go
@@ -180,3 +180,49 @@
 	assert.DeepEqual(t, []bool{changes[0].Reported, changes[1].Reported, changes[2].Reported}, []bool{false, false, true})
 	assert.Equal(t, len(tracker.Shared(at(30))), 1)
 }
+
+// Guards against one loss that quarantines a request although other instances would know of an
+// earlier quarantine, a server answers, the request goes on or another cause is likely; and against a
+// quarantine that other instances do not learn of.
+func TestOneLossMayQuarantineWithoutHistory(t *testing.T) {
+	for name, c := range map[string]struct {
+		history     time.Duration
+		change      func(*Tracker)
+		quarantined bool
+	}{
+		"unanswered":                {change: func(t *Tracker) { t.RecordUnanswered(request) }, quarantined: true},
+		"goes on":                   {change: func(*Tracker) {}},
+		"history is long":           {history: QuarantineTime, change: func(t *Tracker) { t.RecordUnanswered(request) }},
+		"history is taken over":     {change: func(t *Tracker) { t.RecordUnanswered(request); t.MergeHistory(QuarantineTime, at(30)) }},
+		"shorter one is taken over": {change: func(t *Tracker) { t.RecordUnanswered(request); t.MergeHistory(time.Second, at(30)) }, quarantined: true},
+		"server answers":            {change: func(t *Tracker) { t.RecordUnanswered(request); t.RecordAlive("a", at(20)) }},
+		"request succeeds":          {change: func(t *Tracker) { t.RecordUnanswered(request); t.RecordReply(request, at(20)) }},
+		"other server is lost": {change: func(t *Tracker) {
+			t.RecordUnanswered(request)
+			t.RecordLoss(request+1, lossAt("b", 0, 500))
+		}},
+		"it has lost the other": {change: func(t *Tracker) {
+			t.RecordUnanswered(request)
+			t.RecordLoss(request+1, lossAt("b", 0, 500))
+			t.RecordLoss(request, lossAt("b", 0, 500))
+		}, quarantined: true},
+		"other is lost later": {change: func(t *Tracker) {
+			t.RecordUnanswered(request)
+			t.RecordLoss(request+1, lossAt("b", 0, 1500))
+		}, quarantined: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := NewTracker(func(Change) {})
+			tracker.BeginHistory(at(0).Add(-c.history))
+			tracker.RecordLoss(request, lossAt("a", 0, 10))
+			c.change(tracker)
+			assert.Equal(t, tracker.Verdict(request, at(2000)).Quarantined(), c.quarantined)
+			other := NewTracker(func(Change) {})
+			other.BeginHistory(at(0))
+			for _, s := range tracker.Shared(at(2000)) {
+				other.Merge(s)
+			}
+			assert.Equal(t, other.Verdict(request, at(2000)).Quarantined(), c.quarantined)
+		})
+	}
+}
