crashguard: a server that is lost again within two seconds is lost twice

Cause: reports about one server within 2 s counted as one loss, while crashes of a zone count as one within 1 s only. A server that came back and was lost again in between neither explained another crash nor counted.

Change: both windows are 1 s.

TestServerThatIsLostAgainIsLostTwice failed before.

--- a/pkg/crashguard/limits.go
+++ b/pkg/crashguard/limits.go
@@ -13,8 +13,9 @@
 	CorrelationWindow = time.Second
 	// sameCrashWindow is the time within which reports about one server count as
 	// the same crash. The time of a crash that another instance reports is
-	// computed from its age, which the transfer time makes uncertain.
-	sameCrashWindow = 2 * time.Second
+	// computed from its age, which the transfer time makes uncertain. Crashes of a server
+	// that is back and lost again later than that count each, as crashes in its zone do.
+	sameCrashWindow = CorrelationWindow
 
 	// singleDomainFactor is the multiple of the crash limit that suffices when all
 	// crashes lie in one failure domain.
--- a/pkg/crashguard/rules_test.go
+++ b/pkg/crashguard/rules_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/sycamorelift/sycamorelift/pkg/membership"
 )
 
@@ -238,3 +240,38 @@
 		})
 	}
 }
+
+// A server is lost, comes back and is lost again 1.5 s later, as other instances report. Guards
+// against taking both for one loss: the second one then neither explains the crash of another
+// server, so that a harmless request is quarantined, nor counts against the request that caused it.
+func TestServerThatIsLostAgainIsLostTwice(t *testing.T) {
+	const request, again = 7, 1500 * time.Millisecond
+	for name, c := range map[string]struct {
+		byRequest uint64 // in flight on the server that is lost twice; 0 is none
+		crashes   int
+	}{
+		"without a request": {byRequest: 0, crashes: 1},
+		"by the request":    {byRequest: request, crashes: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := New()
+			now := time.Unix(1000, 0)
+			g.MergeReport(c.byRequest, "s0", "z0", now)
+			now = now.Add(again)
+			g.MergeReport(c.byRequest, "s0", "z0", now)
+			if c.byRequest == 0 {
+				g.MergeReport(request, "s1", "z0", now.Add(100*time.Millisecond))
+			}
+			now = now.Add(time.Minute)
+			g.MergeReport(request, "s2", "z1", now)
+			now = now.Add(time.Minute)
+			err := g.Admit(request, DefaultCrashLimit, now)
+			var refused *QuarantinedError
+			if !errors.As(err, &refused) {
+				assert.Assert(t, c.crashes < DefaultCrashLimit, "admitted")
+				return
+			}
+			assert.Equal(t, refused.Crashes, c.crashes)
+		})
+	}
+}
