--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -105,7 +105,7 @@
 		// no view yet takes a stale one only if it cannot reach the store either: such a view
 		// may be far behind the one that its previous run had.
 		confirmed, after := l.confirmationTime(batch, requestedAt, source), l.writtenAfter(f.clock.now())
-		l.apply(l.date(batch, requestedAt, after, source), confirmed, after, source)
+		l.apply(l.setWrittenAfter(batch, requestedAt, after, source), confirmed, after, source)
 	}
 	if isStale {
 		return l.handleFailure(&StaleViewError{Peer: source.id, Age: batch.Age}, source)
--- a/pkg/feed/dating.go
+++ b/pkg/feed/writtenafter.go
@@ -16,9 +16,9 @@
 	}
 }
 
-// date sets the times of the items of a reply that was requested at a time. After is that of
-// writtenAfter.
-func (l *followLoop) date(batch Batch, requestedAt, after time.Time, source chosenSource) Batch {
+// setWrittenAfter sets the times of the items of a reply that was requested at a time. After is the
+// one of what this instance lacks.
+func (l *followLoop) setWrittenAfter(batch Batch, requestedAt, after time.Time, source chosenSource) Batch {
 	f := l.follower
 	transit := min(f.clock.now().Sub(requestedAt), maxReplyDelay)
 	items := make([]Item, 0, len(batch.Items))
--- a/pkg/forward/crashlosses.go
+++ b/pkg/forward/crashlosses.go
@@ -107,7 +107,8 @@
 }
 
 // recordUnanswered records that the request has ended without a reply, which may quarantine it. A
-// server that accepts connections has lost only that of the request.
+// server that accepts connections has lost only that of the request. The caller's answer waits for
+// these connections, so that the request is in quarantine when the caller repeats it.
 func (c *crashSuspicion) recordUnanswered() {
 	c.mu.Lock()
 	lost := c.lostServers
--- a/pkg/suspects/doc.go
+++ b/pkg/suspects/doc.go
@@ -4,7 +4,8 @@
 // Each run of a server counts once, whether its attempt ran alone or beside others and
 // whichever instance observed the loss. MaxLosses losses without any reply quarantine the
 // request for QuarantineTime. A reply to the request clears it and shields it for a while, and
-// a server that soon answers another request has not crashed.
+// a server that soon answers another request has not crashed. An instance whose history does not
+// reach back for QuarantineTime, since all instances were lost, may quarantine after one loss.
 //
 // Package crashguard serves requests that callers repeat with the same content and that
 // instances therefore know to succeed. Here almost every request is new, so a request is
--- a/pkg/suspects/suspect.go
+++ b/pkg/suspects/suspect.go
@@ -71,9 +71,9 @@
 	return len(s.Losses) >= MaxLosses
 }
 
-// verdict returns how the request may be sent. Few losses are decisive if they are those of an
-// unanswered request.
-func (s *Suspect) verdict(fewSuffice func(*Suspect, Loss) bool) Verdict {
+// verdict returns how the request may be sent. Of an unanswered request a single loss quarantines it
+// if that loss is decisive.
+func (s *Suspect) verdict(decisive func(Loss) bool) Verdict {
 	indices := counted(s.Losses)
 	v := Verdict{Losses: len(indices), Latest: s.latest(), Until: s.until()}
 	switch {
@@ -81,7 +81,7 @@
 		v.Since = s.Losses[indices[MaxLosses-1]].Ended
 	case s.Unanswered:
 		for _, i := range indices {
-			if v.Since.IsZero() && fewSuffice(s, s.Losses[i]) {
+			if v.Since.IsZero() && decisive(s.Losses[i]) {
 				v.Since = s.Losses[i].Ended
 			}
 		}
--- a/pkg/suspects/tracker.go
+++ b/pkg/suspects/tracker.go
@@ -72,7 +72,7 @@
 		t.removeLocked(fingerprint)
 		return Verdict{}
 	}
-	return s.verdict(func(s *Suspect, loss Loss) bool {
+	return s.verdict(func(loss Loss) bool {
 		return !t.history.isComplete(now) && !t.recent.explain(s, loss)
 	})
 }
