feed, directory: reported drains have no exception after an outage

A reported drain counts from the earliest time at which the store can have accepted it. The log lines about servers state the greatest age of the change.

Evidence: TestServersAreNotUsedAfterTheirDrainBehindCutReaders failed before in 13 of its cases and passes. TestServersWhoseEntriesExpireInAnOutageAreTheLastResort and TestLeavingServersAreTheLastResort pass as before.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -123,7 +123,7 @@
 	next := *old
 	next.State = membership.StateLive
 	if now := d.now(); !old.Leaving() {
-		next.LeavingSince, next.lastResortUntil = now, d.lastResort.end(now, after)
+		next.LeavingSince, next.lastResortUntil = now, d.lastResort.endOfLapsed(now, after)
 	}
 	d.replaceLocked(old, &next)
 	return Change{ID: id, Service: old.Service, Kind: Removed}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -198,18 +198,20 @@
 }
 
 // Guards against a last resort that ends after the drain time, when the news is late, and against
-// one that does not begin.
+// one that does not begin for servers whose entries have expired.
 func TestLastResortEndsWithTheDrainTime(t *testing.T) {
 	l := lastResort{drain: drain}
 	learned := time.Unix(1000, 0)
-	for _, c := range []struct{ late, want time.Duration }{
-		{0, drain / 2},
-		{drain / 4, drain / 2},
-		{drain * 3 / 4, drain/4 - sendMargin},
-		{drain, drain / 5},
-		{time.Hour, drain / 5},
+	for _, c := range []struct{ late, want, lapsed time.Duration }{
+		{0, drain / 2, drain / 2},
+		{drain / 4, drain / 2, drain / 2},
+		{drain * 3 / 4, drain/4 - sendMargin, drain/4 - sendMargin},
+		{drain, -sendMargin, drain / 5},
+		{time.Hour, drain - sendMargin - time.Hour, drain / 5},
 	} {
 		assert.Equal(t, l.end(learned, learned.Add(-c.late)).Sub(learned), c.want, "news that may be %v late", c.late)
+		assert.Equal(t, l.endOfLapsed(learned, learned.Add(-c.late)).Sub(learned), c.lapsed, "news that may be %v late", c.late)
 	}
 	assert.Equal(t, l.end(learned, time.Time{}).Sub(learned), drain/2)
+	assert.Equal(t, l.endOfLapsed(learned, time.Time{}).Sub(learned), drain/2)
 }
--- a/pkg/directory/lastresort.go
+++ b/pkg/directory/lastresort.go
@@ -7,9 +7,10 @@
 	// server leaves, during which the server may still get requests if its service has no
 	// other server.
 	lastResortShare = 0.5
-	// leastLastResortShare is the same for a server whose drain time may be over. An instance that
-	// reaches the platform, or another one that does, learns of the change within the rest.
-	leastLastResortShare = 0.2
+	// lapsedShare is the least such share for a server whose entry is gone: it may have expired
+	// while the server works, and is then back within some seconds. An instance that reaches the
+	// platform, or another one that does, mostly learns of the removal within the rest.
+	lapsedShare = 0.2
 	// sendMargin is how long before the end of the drain time a leaving server gets its last
 	// request, so that the request arrives within it.
 	sendMargin = 100 * time.Millisecond
@@ -30,7 +31,12 @@
 	if after.IsZero() {
 		return end
 	}
-	return earlier(end, later(after.Add(l.drain-sendMargin), learned.Add(l.share(leastLastResortShare))))
+	return earlier(end, after.Add(l.drain-sendMargin))
+}
+
+// endOfLapsed is end for a server whose entry is gone.
+func (l lastResort) endOfLapsed(learned, after time.Time) time.Time {
+	return later(l.end(learned, after), learned.Add(l.share(lapsedShare)))
 }
 
 func (l lastResort) share(share float64) time.Duration {
--- a/pkg/feed/apply.go
+++ b/pkg/feed/apply.go
@@ -34,7 +34,7 @@
 		f.logZoneChange(f.directory.DrainZone(zone), b.Position.Revision)
 	}
 	for _, change := range f.directory.Replace(entries, removedAfter) {
-		f.logChange(change, b.Position.Revision)
+		f.logChange(change, b.Position.Revision, removedAfter)
 	}
 	for _, change := range f.directory.ReturnOtherZones(drainedZones) {
 		f.logZoneChange(&change, b.Position.Revision)
@@ -58,10 +58,10 @@
 			f.logZoneChange(f.directory.DrainZone(decoded.DrainedZone), item.Revision)
 		case decoded.ServerID == "":
 		case decoded.Entry == nil:
-			f.logChange(f.directory.Remove(decoded.ServerID, item.WrittenAfter), item.Revision)
+			f.logChange(f.directory.Remove(decoded.ServerID, item.WrittenAfter), item.Revision, item.WrittenAfter)
 		default:
 			decoded.Entry.Revision, decoded.Entry.After = item.Revision, item.WrittenAfter
-			f.logChange(f.directory.Put(*decoded.Entry), item.Revision)
+			f.logChange(f.directory.Put(*decoded.Entry), item.Revision, item.WrittenAfter)
 		}
 	}
 	for _, id := range f.directory.Sweep() {
@@ -69,11 +69,17 @@
 	}
 }
 
-func (f *Follower) logChange(change directory.Change, revision int64) {
+// logChange logs a change that the store has accepted after a time, zero if unknown.
+func (f *Follower) logChange(change directory.Change, revision int64, after time.Time) {
 	if change.Kind == directory.Unchanged {
 		return
 	}
-	f.logger.Info("backend server "+string(change.Kind), "backend_server", change.ID, "service", change.Service, "revision", revision)
+	maxAge := time.Duration(-1)
+	if !after.IsZero() {
+		maxAge = f.clock.now().Sub(after)
+	}
+	f.logger.Info("backend server "+string(change.Kind), "backend_server", change.ID, "service", change.Service, "revision", revision,
+		"max_age_ms", maxAge.Milliseconds())
 }
 
 // logZoneChange logs that a zone was drained or has returned; change is nil if nothing changed.
--- a/pkg/feed/cutreader_test.go
+++ b/pkg/feed/cutreader_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/sycamorelift/sycamorelift/pkg/directory"
 )
 
 // cutLink is the way of one instance to the store. It is silent from one time until another one,
@@ -86,6 +89,69 @@
 	}
 }
 
+// The same in a zone of 20 instances whose reader and standby reader are both cut off, with the drain
+// time of such deployments. Guards against taking that for an outage, after which the drain time
+// would count from when an instance learns of the change.
+func TestServersAreNotUsedAfterTheirDrainBehindCutReaders(t *testing.T) {
+	drainBehindCutReaders(t, "leaving")
+}
+
+// The same for servers that do not report that they leave: their entries are removed.
+func TestRemovedServersAreNotUsedAfterTheirDrainBehindCutReaders(t *testing.T) {
+	drainBehindCutReaders(t, "")
+}
+
+func drainBehindCutReaders(t *testing.T, leave string) {
+	for cut := time.Second; cut <= 3*time.Second; cut += 500 * time.Millisecond {
+		for offset := time.Duration(0); offset < cut; offset += 300 * time.Millisecond {
+			t.Run(fmt.Sprintf("%v after the begin of %v", offset, cut), func(t *testing.T) {
+				simulate(t, func(ctx context.Context, store *fakeStore) {
+					followers, ways := startZoneBehindCutReaders(ctx, store)
+					time.Sleep(5*time.Second + offset*7%(2*time.Second))
+					from := time.Now().Add(100 * time.Millisecond)
+					for _, way := range ways {
+						way.cut(from, from.Add(cut))
+					}
+					time.Sleep(100*time.Millisecond + offset)
+					store.write("server/a", leave)
+					store.write("server/b", leave)
+					drained := time.Now()
+					time.Sleep(largeZoneDrain)
+					for ; time.Since(drained) < 2*largeZoneDrain; time.Sleep(50 * time.Millisecond) {
+						for n, f := range followers {
+							assert.Equal(t, usableServers(f), "", "instance %d, %v after the drain", n, time.Since(drained))
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// largeZoneDrain is the drain time of deployments with large zones.
+const largeZoneDrain = 5 * time.Second
+
+// startZoneBehindCutReaders starts 20 instances that follow a reader and a standby reader, and returns
+// the ways of these two to the store.
+func startZoneBehindCutReaders(ctx context.Context, store *fakeStore) (followers []*Follower, ways []*cutLink) {
+	start := func(s Store, sources Sources) *Follower {
+		f := NewFollower(s, sources, fakeDecoder{}, directory.New(largeZoneDrain, time.Now), slog.New(slog.DiscardHandler))
+		go func() { _ = f.Serve(ctx) }()
+		<-f.Ready()
+		return f
+	}
+	ways = []*cutLink{{fakeStore: store}, {fakeStore: store}}
+	reader := start(ways[0], noPeers{})
+	standby := start(ways[1], onePeer{followed: reader})
+	others := &[]*Follower{}
+	for range 20 {
+		zone := largeZone{readerWithStandby{onePeer{followed: reader}, standby}, 20}
+		followers = append(followers, start(store, mixedZone{zone, others}))
+	}
+	*others = followers
+	return followers, ways
+}
+
 // All servers of a service begin to leave, without any fault. Guards against a service that is left
 // without its last servers long before these stop.
 func TestLeavingServersAreTheLastResort(t *testing.T) {
--- a/pkg/feed/followloop.go
+++ b/pkg/feed/followloop.go
@@ -104,8 +104,8 @@
 		// A stale view can still hold changes that this instance lacks. An instance that has
 		// no view yet takes a stale one only if it cannot reach the store either: such a view
 		// may be far behind the one that its previous run had.
-		confirmed, after := l.confirmationTime(batch, requestedAt, source), l.writtenAfter(f.clock.now())
-		l.apply(l.setWrittenAfter(batch, requestedAt, after, source), confirmed, after, source)
+		confirmed, times := l.confirmationTime(batch, requestedAt, source), l.changeTimes(f.clock.now())
+		l.apply(l.setWrittenAfter(batch, requestedAt, times, source), confirmed, times.removed, source)
 	}
 	if isStale {
 		return l.handleFailure(&StaleViewError{Peer: source.id, Age: batch.Age}, source)
@@ -212,9 +212,9 @@
 }
 
 // apply puts a batch in force and then adds it to the cache with the time of its confirmation,
-// since the instances that follow this one receive both together. The store has accepted what is
-// new in the batch after another time.
-func (l *followLoop) apply(batch Batch, confirmed, after time.Time, source chosenSource) {
+// since the instances that follow this one receive both together. The store has removed what a
+// complete read lacks after another time.
+func (l *followLoop) apply(batch Batch, confirmed, removedAfter time.Time, source chosenSource) {
 	f := l.follower
 	if l.synced {
 		changes, unseen := f.cache.news(batch)
@@ -225,7 +225,7 @@
 		f.cache.add(changes, batch.Position.Revision, confirmed)
 		l.position.Revision = max(l.position.Revision, batch.Position.Revision)
 	} else {
-		l.applyRead(batch, confirmed, after, source)
+		l.applyRead(batch, confirmed, removedAfter, source)
 	}
 	f.markReady()
 	l.hasView, l.synced = true, true
@@ -233,7 +233,7 @@
 
 // applyRead puts a complete read in force. Its position replaces the one before, even if that
 // has a higher revision.
-func (l *followLoop) applyRead(batch Batch, confirmed, after time.Time, source chosenSource) {
+func (l *followLoop) applyRead(batch Batch, confirmed, removedAfter time.Time, source chosenSource) {
 	f := l.follower
 	l.pacing.record(f.clock.now())
 	// Without eras, a restore shows only by the lower revision.
@@ -250,7 +250,7 @@
 	f.era.Store(batch.Position.Era)
 	inForce := batch
 	inForce.Items = f.restored.resolve(batch.Items)
-	f.applyAll(inForce, after, source.id)
+	f.applyAll(inForce, removedAfter, source.id)
 	if state := batch.Restored; state != nil && state.Table != nil {
 		f.adoptTable(*state.Table, f.decoder.Decode(*state.Table).Table, source.id)
 	}
