--- a/pkg/feed/apply.go
+++ b/pkg/feed/apply.go
@@ -74,7 +74,7 @@
 	if change.Kind == directory.Unchanged {
 		return
 	}
-	maxAge := time.Duration(-1)
+	maxAge := -time.Millisecond
 	if !after.IsZero() {
 		maxAge = f.clock.now().Sub(after)
 	}
