forward: a test of leaving servers lists the other server first

Traced: the test marks the only server as leaving and then lists another one; a waiting request that wakes in between rightly uses the leaving one as the last resort.

--- a/pkg/forward/overload_test.go
+++ b/pkg/forward/overload_test.go
@@ -195,10 +195,11 @@
 		occupied := []*replicas.Attempt{tb.engine.tracker.Begin(servers[0], route.Name, now, now), tb.engine.tracker.Begin(servers[0], route.Name, now, now)}
 		go func() {
 			time.Sleep(30 * time.Millisecond)
+			// The other server is listed first: until then the one that leaves is the last resort.
+			tb.addServer("s00", "s00.c", localZone)
 			leaving := servers[0].BackendServer
 			leaving.State = membership.StateLeaving
 			tb.directory.Put(directory.Entry{Server: leaving, Capacity: 2})
-			tb.addServer("s00", "s00.c", localZone)
 			for _, a := range occupied {
 				a.End(replicas.Answered, time.Now())
 			}
