--- a/review/scene-3/platform/extra.go
+++ b/review/scene-3/platform/extra.go
@@ -25,7 +25,7 @@
 	// faultPause is the time between two such times.
 	faultPause = 3500 * time.Millisecond
 	// faultTimes is how often that happens.
-	faultTimes = 14
+	faultTimes = 20
 )
 
 // playExtra has servers of a few shards turn slow while they send extra responses. It returns
