--- a/review/scene-3/platform/extra.go
+++ b/review/scene-3/platform/extra.go
@@ -31,7 +31,7 @@
 // playExtra has servers of a few shards turn slow while they send extra responses. It returns
 // whether the rule held.
 func playExtra(program string, r *record, trouble bool) (held bool, err error) {
-	s, err := newScene(program, r, trouble, func(s *scene, _ string) (string, error) { return s.store.Address(), nil })
+	s, err := newScene(program, func(s *scene, _ string) (string, error) { return s.store.Address(), nil })
 	if err != nil {
 		return false, err
 	}
--- a/review/scene-3/platform/held.go
+++ b/review/scene-3/platform/held.go
@@ -31,7 +31,7 @@
 // partitioned from it for a moment. It returns whether the rule held.
 func playHeld(program string, r *record, trouble bool) (held bool, err error) {
 	links := map[string]*link{}
-	s, err := newScene(program, r, trouble, func(s *scene, machine string) (string, error) {
+	s, err := newScene(program, func(s *scene, machine string) (string, error) {
 		l, err := newLink(s.store.Address())
 		if err != nil {
 			return "", err
--- a/review/scene-3/platform/scene.go
+++ b/review/scene-3/platform/scene.go
@@ -16,8 +16,6 @@
 
 // scene is a small deployment: two machines in each of three zones, a store and backend servers.
 type scene struct {
-	record   *record
-	trouble  bool
 	folder   string
 	store    *platformtest.Store
 	machines []*machine
@@ -28,12 +26,12 @@
 
 // newScene makes the deployment without starting its instances. StoreOf returns the address at
 // which a machine reaches the store.
-func newScene(program string, r *record, trouble bool, storeOf func(s *scene, machine string) (string, error)) (*scene, error) {
+func newScene(program string, storeOf func(s *scene, machine string) (string, error)) (*scene, error) {
 	folder, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
-	s := &scene{record: r, trouble: trouble, folder: folder, store: platformtest.NewStore(500)}
+	s := &scene{folder: folder, store: platformtest.NewStore(500)}
 	ips, err := freeAddresses(2 * len(zones))
 	if err != nil {
 		return nil, err
--- a/review/scene-3/platform/versions.go
+++ b/review/scene-3/platform/versions.go
@@ -18,7 +18,7 @@
 	stormTime  = 4 * time.Second
 	stormPause = 50 * time.Millisecond
 	// versionsTime is how long the storms come one after the other.
-	versionsTime = 105 * time.Second
+	versionsTime = 102 * time.Second
 	// restartAfter is how long after its end a process is started again.
 	restartAfter = 500 * time.Millisecond
 )
@@ -31,7 +31,7 @@
 
 // playVersions lets desired states follow one another. It returns whether the rule held.
 func playVersions(program string, r *record, trouble bool) (held bool, err error) {
-	s, err := newScene(program, r, trouble, func(s *scene, _ string) (string, error) { return s.store.Address(), nil })
+	s, err := newScene(program, func(s *scene, _ string) (string, error) { return s.store.Address(), nil })
 	if err != nil {
 		return false, err
 	}
